--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -127,7 +127,7 @@
 // ---- users ----
 
 void Scheduler::add_job(Job job, Time now) {
-  if (jobs_.contains(job.spec.id)) return;
+  if (jobs_.contains(job.spec.id) || over_.contains(job.spec.id)) return;
   job.waiting_since = now;
   last_submission_ = std::max(last_submission_, now);
   auto id = job.spec.id;
@@ -179,6 +179,7 @@
 void Scheduler::finish_job(Job& job, JobPhase phase, Time now) {
   job.phase = phase;
   job.phase_gen = gen_;
+  over_.insert(job.spec.id);
   job.returned.clear();
   job.next_fresh = job.spec.tasks;
   mark(job);
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -39,6 +39,8 @@
 
   // Users.
   void add_job(Job job, Time now);
+  // Became final under this leadership: an older read of its row must not bring it back.
+  [[nodiscard]] bool was_final(const JobId& id) const { return over_.contains(id); }
   [[nodiscard]] const Job* find_job(const JobId& id) const;
   [[nodiscard]] std::optional<JobStatus> status(const JobId& id) const;
   // Marks the job cancelled; the answer may go out once the returned generation is committed.
@@ -130,6 +132,7 @@
   std::uint32_t hires_open_ = 0;
   std::map<std::string, double> lane_ratio_;  // learned: actual run time over the estimate
   std::map<JobId, Time> evicted_for_;
+  std::set<JobId> over_;
   Generation gen_{1};
   Generation committed_{0};
   bool dirty_ = false;
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -196,7 +196,8 @@
 void LeaderStore::adopt(Job job, Stamp version) {
   if (ctx_.scheduler == nullptr) return;
   const auto id = job.spec.id;
-  if (ctx_.scheduler->find_job(id) != nullptr) return;
+  // A row that was read before its job became final must not start it again: users were told.
+  if (ctx_.scheduler->find_job(id) != nullptr || ctx_.scheduler->was_final(id)) return;
   versions_[wire::job_key(id)] = version;
   ctx_.scheduler->add_job(std::move(job), ctx_.now());
   ctx_.kick();
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -105,6 +105,7 @@
 
 rt::Task<rt::HttpResponse> UserService::read_status(JobId id) {
   // In this order: a job moves from its first key to the second and never back.
+  const auto term = ctx_.term;
   const ReadResult active = co_await state_.get(wire::job_key(id), seconds(0.8));
   if (active.outcome == ReadOutcome::failed) co_return later("the state service does not answer");
   if (active.outcome == ReadOutcome::found) {
@@ -112,6 +113,9 @@
     if (!job) co_return later("the job's row cannot be read");
     const JobStatus s{id, job->done.count() > 0 ? JobPhase::running : JobPhase::pending, job->done.count(), 0};
     // Written by this leader while it was busy, or by another node: either way it is to run.
+    // What was read under an earlier leadership, or before the job's end, may be out of date by now.
+    const bool current = ctx_.term == term;
+    if (!current || (ctx_.scheduler != nullptr && ctx_.scheduler->was_final(id))) co_return later("read too early");
     if (ctx_.proven()) store_.adopt(std::move(*job), active.item.version);
     co_return answer(200, s);
   }
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -204,6 +204,18 @@
   EXPECT_FALSE(d.s.take_releases(d.now).empty());
 }
 
+// Found on the grown sites: a read of the job's row that was overtaken by its end started it again.
+TEST(scheduler, a_finished_job_is_not_adopted_again) {
+  Desk d;
+  d.start_one();
+  d.beat("i-1", {Desk::task("job-1", 0, 1, TaskState::ended, ExitCause::done)});
+  d.commit();
+  ASSERT_EQ(nullptr, d.s.find_job(JobId{"job-1"}));
+  d.job("job-1", Shape::array, 1, 1);
+  EXPECT_EQ(nullptr, d.s.find_job(JobId{"job-1"}));
+  EXPECT_TRUE(d.s.was_final(JobId{"job-1"}));
+}
+
 // Found by inc-6852: leaders that changed every 40 s knew no caches and placed on cold machines.
 TEST(scheduler, a_new_leader_knows_the_cached_images) {
   Desk d;
