Gangs gather machines before lower ranks fill them; no eviction where waiting meets the aims

Cause: arrays took whole free machines a moment before the gangs that then stopped them (4,700 stops in the first 50 s at the registry, each with a cold fetch of its own).

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace martenwall {
@@ -21,6 +22,7 @@
   explicit Planner(const FleetView& view) : view_(view), per_zone_(view.per_zone), pool_(view.prospects) {}
 
   void serve(const Demand& d) {
+    d.job->room_at.reset();
     if (d.spec->shape == Shape::gang && d.spec->one_zone && d.zone.empty()) return serve_in_one_zone(d);
     serve_in(d, d.zone);
   }
@@ -43,19 +45,26 @@
  private:
   void serve_in(const Demand& d, const std::string& zone) {
     std::uint32_t left = d.count;
+    Time ready = view_.now;
     for (auto& v : pool_) {
-      if (left == 0) return;
-      if (allows(*d.spec, v, zone)) left -= fill(*d.spec, v, left);
+      if (left == 0) break;
+      if (!allows(*d.spec, v, zone)) continue;
+      const auto n = fill(*d.spec, v, left);
+      if (n > 0) ready = std::max(ready, v.ready);
+      left -= n;
     }
     while (left > 0) {
       const auto offer = best_offer(*d.spec, zone);
       if (!offer) return;
       ++per_zone_[offer->zone];
-      pool_.push_back({offer->type, offer->zone, offer->spot, offer->type->room, true});
+      const Time up = view_.now + seconds(offer->type->boot_s * usual_boot);
+      ready = std::max(ready, up);
+      pool_.push_back({offer->type, offer->zone, offer->spot, offer->type->room, up, true});
       const auto placed = fill(*d.spec, pool_.back(), left);
       if (placed == 0) return;
       left -= placed;
     }
+    d.job->room_at = ready;
   }
 
   // All of its room must be in one zone: the one where least is missing; where that is equal, the cheapest.
@@ -115,6 +124,26 @@
 
 }  // namespace
 
+void LoadHistory::add(double busy) {
+  samples_.push_back(busy);
+  if (samples_.size() > kept) samples_.pop_front();
+}
+
+double LoadHistory::reserve(std::size_t horizon, double deviations) const {
+  if (samples_.size() <= horizon + 1) return samples_.empty() ? 0 : samples_.back();  // too early to tell
+  double sum = 0;
+  double squares = 0;
+  const std::size_t n = samples_.size() - horizon;
+  for (std::size_t i = 0; i < n; ++i) {
+    const double growth = samples_[i + horizon] - samples_[i];
+    sum += growth;
+    squares += growth * growth;
+  }
+  const double mean = sum / static_cast<double>(n);
+  const double variance = std::max(0.0, squares / static_cast<double>(n) - mean * mean);
+  return std::max(0.0, std::min(mean, 0.0) + deviations * std::sqrt(variance));
+}
+
 std::vector<HireRequest> plan_hires(const FleetView& view, const std::vector<Demand>& demands) {
   Planner planner{view};
   for (const auto& d : demands) planner.serve(d);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -1,5 +1,6 @@
 // Fleet sizing: what to hire for the work that found no room, and what to give back.
 #pragma once
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -10,6 +11,8 @@
 
 namespace martenwall {
 
+constexpr double usual_boot = 1.25;  // times the nominal boot time within which most machines are up
+
 struct HireRequest {
   std::string name;  // never reused, by any leader
   std::string type, zone;
@@ -29,6 +32,7 @@
 
 struct Demand {
   const JobSpec* spec = nullptr;
+  Job* job = nullptr;
   std::uint32_t count = 0;  // tasks without room; a gang's all or none
   std::string zone;         // where the job's other tasks bind it, or empty
 };
@@ -39,6 +43,7 @@
   std::string zone;
   bool spot = false;
   Resources room;
+  Time ready{};  // when it is expected to take starts
   bool to_hire = false;
 };
 
@@ -51,7 +56,21 @@
   std::vector<Prospect> prospects;
 };
 
-// Machines to rent, packed greedily; requests without a name yet.
+// How many machines of a kind were busy, second by second. Of it follows how many more may be wanted before
+// one that is hired now would be up.
+class LoadHistory {
+ public:
+  void add(double busy);
+  // The usual growth over `horizon` samples and `deviations` times its scatter, at least 0.
+  [[nodiscard]] double reserve(std::size_t horizon, double deviations) const;
+
+ private:
+  static constexpr std::size_t kept = 150;
+  std::deque<double> samples_;
+};
+
+// Machines to rent, packed greedily; requests without a name yet. Each demand's job learns when its room is
+// expected, or that none is.
 std::vector<HireRequest> plan_hires(const FleetView& view, const std::vector<Demand>& demands);
 
 }  // namespace martenwall
--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -59,7 +59,7 @@
     bool type_fits = false;
     for (std::size_t c = 0; c < board.columns.size(); ++c) {
       const auto& col = board.columns[c];
-      if (!job.spec.need.fits_in(col.free)) continue;
+      if (job.spec.rank < col.held_for || !job.spec.need.fits_in(col.free)) continue;
       if (std::exchange(type, col.type) != col.type) type_fits = type_allows(job.spec, *col.type);
       if (!type_fits || !place_allows(job.spec, col.machine->zone, col.machine->spot)) continue;
       const bool reserved = col.machine->reserved_for && *col.machine->reserved_for != job.spec.id &&
@@ -130,7 +130,10 @@
       const auto& col = board.columns[c];
       const double cpu = col.type->room.cpus > 0 ? col.free.cpus / col.type->room.cpus : 0;
       const double gpu = col.type->room.gpus > 0 ? col.free.gpus / col.type->room.gpus : cpu;
-      m.at(r, c) += board.policy.packing_weight * (1 - std::min(cpu, gpu));
+      // Of empty machines those that idle shortest: the others are then idle for good and can go back.
+      const double idle_s = col.machine->empty() ? to_seconds(board.now - col.machine->idle_since) : 0;
+      const double recent = col.machine->empty() ? 0.2 / (1 + std::max(0.0, idle_s) / 10) : 0.0;
+      m.at(r, c) += board.policy.packing_weight * (1 - std::min(cpu, gpu) + recent);
     });
   }
 }
@@ -145,6 +148,50 @@
 
 }  // namespace heuristics
 
+namespace {
+
+// Columns on which one task of the row fits into what `room` leaves, those with its image first.
+std::map<std::string, std::vector<std::size_t>> gatherable(const Board& board, const Row& row,
+                                                           const std::vector<Resources>& room) {
+  const auto& job = *row.job;
+  std::map<std::string, std::vector<std::size_t>> by_zone;
+  for (std::size_t c = 0; c < board.columns.size(); ++c) {
+    const auto& m = *board.columns[c].machine;
+    const bool reserved = m.reserved_for && *m.reserved_for != job.spec.id;
+    if (reserved || !job.spec.need.fits_in(room[c]) || !place_allows(job.spec, m.zone, m.spot) ||
+        !type_allows(job.spec, *board.columns[c].type)) {
+      continue;
+    }
+    by_zone[job.spec.one_zone ? m.zone : std::string{}].push_back(c);
+  }
+  for (auto& [zone, columns] : by_zone) {
+    std::ranges::stable_partition(columns, [&](auto c) { return board.columns[c].machine->has_image(job.image); });
+  }
+  return by_zone;
+}
+
+}  // namespace
+
+void hold_for_gangs(Board& board, Ledger used) {
+  std::vector<Resources> room;
+  for (const auto& col : board.columns) room.push_back(col.free);
+  for (const auto& row : board.rows) {
+    const auto& spec = row.job->spec;
+    if (spec.shape != Shape::gang || spec.rank == Rank::best_effort) continue;
+    if (used.room_for(spec.team, spec.need) < spec.tasks) continue;
+    used.add(spec.team, spec.need, spec.tasks);
+    const auto by_zone = gatherable(board, row, room);
+    const auto most = std::ranges::max_element(
+        by_zone, {}, [&](const auto& z) { return std::min<std::size_t>(z.second.size(), spec.tasks); });
+    if (most == by_zone.end()) continue;
+    for (std::size_t i = 0; i < most->second.size() && i < spec.tasks; ++i) {
+      const auto c = most->second[i];
+      room[c].add(spec.need, -1);
+      board.columns[c].held_for = std::max(board.columns[c].held_for, spec.rank);
+    }
+  }
+}
+
 Matrix build_matrix(const Board& board) {
   Matrix m{board.rows.size(), board.columns.size()};
   heuristics::minimal_requirements(board, m);
--- a/src/core/heuristics.hpp
+++ b/src/core/heuristics.hpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "core/ledger.hpp"
 #include "core/model.hpp"
 #include "core/policy.hpp"
 
@@ -22,7 +23,8 @@
   Machine* machine = nullptr;
   const MachineType* type = nullptr;
   Resources free;
-  std::size_t slots = 0;  // further tasks that the machine's row in the store can hold
+  std::size_t slots = 0;              // further tasks that one machine may hold
+  Rank held_for = Rank::best_effort;  // a gang of this rank gathers the machine: lower ranks keep off
 };
 
 class Matrix {
@@ -66,6 +68,10 @@
 void spot_preference(const Board& board, Matrix& m);
 }  // namespace heuristics
 
+// Machines that waiting gangs gather, in the order of their ranks. A gang would stop what lower ranks start
+// there meanwhile, and its image would share the machine's fetch with theirs.
+void hold_for_gangs(Board& board, Ledger used);
+
 Matrix build_matrix(const Board& board);
 
 }  // namespace martenwall
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -184,7 +184,8 @@
   Time waiting_since{};
   bool limit_logged = false;
   Time preempt_after{};
-  std::uint32_t running = 0;  // tasks reported as running
+  std::optional<Time> room_at;  // when machines that are on their way will have room for all of it
+  std::uint32_t running = 0;    // tasks reported as running
 
   [[nodiscard]] std::uint32_t pending_tasks() const;
   [[nodiscard]] std::optional<std::uint32_t> next_pending() const;
--- a/src/core/policy.cpp
+++ b/src/core/policy.cpp
@@ -19,6 +19,8 @@
       quiet_after(seconds(40)),
       quiet_release(seconds(20)),
       warm_machines(1),
+      reserve_deviations(1.5),
+      surplus_release(seconds(15)),
       boot_patience(4.0),
       capacity_retry(seconds(12)),
       direct_starts(true),
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -1,5 +1,9 @@
 // Constants of the installation. Operators may override them in their properties file.
 #pragma once
+#include <map>
+#include <string>
+#include <vector>
+
 #include "core/types.hpp"
 
 namespace martenwall {
@@ -25,6 +29,8 @@
   Duration quiet_after;    // without a submission for so long, idle machines go back after
   Duration quiet_release;  // this time already
   int warm_machines;
+  double reserve_deviations;  // idle machines kept: scatter of the load's growth over a boot, times this
+  Duration surplus_release;   // idle machines beyond that go back after
   double boot_patience;  // times the nominal boot time before a machine is given up
   Duration capacity_retry;
   bool direct_starts;
@@ -35,6 +41,12 @@
   Duration margin;
 };
 
+// How soon the users want work to start, from the settings' objectives.
+struct StartAims {
+  std::map<std::string, std::vector<double>> by_lane;  // seconds from the submission
+  double guarantee_s = 0;                              // for work within its team's guarantee; 0: none asked
+};
+
 struct WorkerTerms {
   double report_s = 3, lease_s = 20, gang_wait_s = 50, gang_peer_s = 4, cancel_s = 40;
 };
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -1,6 +1,8 @@
 // One round of the scheduler: matrix, matching, preemption, fleet.
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 #include "core/matcher.hpp"
@@ -17,6 +19,8 @@
 constexpr std::size_t max_eviction_tries = 48;
 constexpr Duration eviction_retry = seconds(1);
 constexpr Duration fleet_every = seconds(0.5);
+constexpr double least_eviction_s = 4;  // saving, stopping and starting anew take at least so long
+constexpr double late_boot = 1.8;       // times the nominal boot time after which a machine is not counted on
 
 bool before(const Row& a, const Row& b) {
   if (a.job->spec.rank != b.job->spec.rank) return a.job->spec.rank > b.job->spec.rank;
@@ -92,7 +96,7 @@
     Resources free = type->room;
     free.add(m.used, -1);
     if (!least.fits_in(free)) continue;
-    board.columns.push_back({&m, type, free, setup_.max_tasks_per_machine - m.placements.size()});
+    board.columns.push_back({&m, type, free, setup_.max_tasks_per_machine - m.placements.size(), Rank::best_effort});
   }
   const auto rows = std::max(min_rows, max_cells / std::max<std::size_t>(1, board.columns.size()));
   // The others' turn comes in the next round.
@@ -130,16 +134,45 @@
   expire(now);
   if (types_.empty()) return;
   auto board = make_board(now);
+  hold_for_gangs(board, used_);
   auto matrix = build_matrix(board);
   auto used = used_;
   Matcher matcher{board, matrix, used, machines_};
   for (const auto& match : matcher.run()) place(board, board.rows[match.row], match.columns, now);
-  preempt(board, now);
+  // The fleet first: what it has on its way tells whether stopping others is worth it.
   if (now >= next_fleet_) {
     next_fleet_ = now + fleet_every;
     plan_fleet(board, used, now);
     plan_releases(now);
   }
+  preempt(board, now);
+  take_census(board, now);
+}
+
+// When the job could start without stopping anything; nothing where no room is coming.
+std::optional<Time> Scheduler::room_expected(const Job& job, Time now) const {
+  if (!job.room_at) return std::nullopt;
+  double fetch_s = 0;
+  for (const auto& type : types_) {
+    if (type_allows(job.spec, type) && type.fetch_gb_per_s > 0) fetch_s = job.spec.image_gb / type.fetch_gb_per_s;
+  }
+  return std::max(now, *job.room_at) + seconds(fetch_s);
+}
+
+// Stopping others is worth its cost where it meets an aim that waiting misses, or where no room is coming.
+bool Scheduler::better_to_wait(const Row& row, Time now) const {
+  const auto& job = *row.job;
+  const auto expected = room_expected(job, now);
+  if (!expected) return false;
+  const auto lane = setup_.aims.by_lane.find(job.spec.lane);
+  if (lane == setup_.aims.by_lane.end() && !row.within_guarantee) return false;
+  std::vector<double> bounds = lane == setup_.aims.by_lane.end() ? std::vector<double>{} : lane->second;
+  if (row.within_guarantee && setup_.aims.guarantee_s > 0) bounds.push_back(setup_.aims.guarantee_s);
+  const Time soonest = now + seconds(least_eviction_s);
+  return std::ranges::none_of(bounds, [&](double within_s) {
+    const Time due = job.submitted + seconds(within_s);
+    return soonest <= due && *expected > due;
+  });
 }
 
 VictimTable Scheduler::victims(const Board& board, Time now) {
@@ -177,7 +210,7 @@
     if (budget == 0 || tries == 0) return;
     // The lowest rank has nothing below it; only a guarantee lets it stop others.
     if (row.count == 0 || (spec.rank == Rank::best_effort && !row.within_guarantee)) continue;
-    if (now < row.job->preempt_after || evicted_for_.contains(spec.id)) continue;
+    if (now < row.job->preempt_after || evicted_for_.contains(spec.id) || better_to_wait(row, now)) continue;
     const std::uint32_t wanted = spec.shape == Shape::gang ? spec.tasks : 1;
     if (used_.room_for(spec.team, spec.need) < wanted) continue;
     if (!table) table = victims(board, now);
@@ -225,17 +258,21 @@
   std::vector<Prospect> out;
   for (const auto& col : board.columns) {
     const auto& m = *col.machine;
-    if (!m.reserved_for && col.free.gpus > 0) out.push_back({col.type, m.zone, m.spot, col.free, false});
+    if (!m.reserved_for && col.free.gpus > 0) out.push_back({col.type, m.zone, m.spot, col.free, now, false});
   }
   for (const auto& [id, m] : machines_) {
     const auto* type = type_of(m.type);
     if (type == nullptr || m.phase() != MachinePhase::booting) continue;
     // One that takes much longer than its kind does may never come: plan without it.
-    if (now - m.first_known < seconds(type->boot_s * 1.8)) out.push_back({type, m.zone, m.spot, type->room, false});
+    if (now - m.first_known > seconds(type->boot_s * late_boot)) continue;
+    const Time up = std::max(now + seconds(2), m.first_known + seconds(type->boot_s * usual_boot));
+    out.push_back({type, m.zone, m.spot, type->room, up, false});
   }
   for (const auto& [name, request] : open_hires_) {
     const auto* type = type_of(request.type);
-    if (type != nullptr) out.insert(out.end(), request.count, {type, request.zone, request.spot, type->room, false});
+    if (type == nullptr) continue;
+    const Time up = now + seconds(type->boot_s * usual_boot);
+    out.insert(out.end(), request.count, {type, request.zone, request.spot, type->room, up, false});
   }
   return out;
 }
@@ -252,7 +289,7 @@
     if (left == 0 || (spec.shape == Shape::gang && left < spec.tasks)) continue;
     used.add(spec.team, spec.need, left);
     const auto zones = spec.one_zone ? zones_of(*row.job, machines_) : ZoneCounts{};
-    out.push_back({&spec, left, zones.empty() ? std::string{} : zones.begin()->first});
+    out.push_back({&spec, row.job, left, zones.empty() ? std::string{} : zones.begin()->first});
   }
   return out;
 }
@@ -288,23 +325,57 @@
       idle.push_back(&m);
     }
   }
-  // Ordinary machines serve everyone, so they are the ones to keep warm; longest idle goes first.
-  std::ranges::stable_sort(idle, [](const Machine* a, const Machine* b) {
-    if (a->spot != b->spot) return a->spot;
-    return a->idle_since < b->idle_since;
-  });
-  auto spare = static_cast<std::ptrdiff_t>(idle.size()) - setup_.policy.warm_machines;
-  // Machines are kept for the next submission: where none comes, there is less to keep them for.
+  release_idle(std::move(idle), now);
+}
+
+// Beyond what the load may grow by while a machine boots, idle machines cost more than they can save.
+void Scheduler::release_idle(std::vector<Machine*> idle, Time now) {
+  double boot_s = 0;
+  for (const auto& type : types_) boot_s = std::max(boot_s, type.boot_s);
+  const auto horizon = static_cast<std::size_t>(boot_s * usual_boot);
+  std::array<double, 2> kept{};
+  for (const bool spot : {false, true}) {
+    kept[spot ? 1 : 0] = load_[spot ? 1 : 0].reserve(horizon, setup_.policy.reserve_deviations);
+  }
+  // Ordinary machines serve everyone, so they are the ones to keep warm.
+  kept[0] = std::max(kept[0], static_cast<double>(setup_.policy.warm_machines));
+  // The one that idled shortest is kept first: placements prefer it too, so the others' time comes.
+  std::ranges::stable_sort(idle, std::greater{}, &Machine::idle_since);
   const bool quiet = now - last_submission_ > setup_.policy.quiet_after;
-  const auto limit =
+  const auto longest =
       quiet ? std::min(setup_.policy.quiet_release, setup_.policy.idle_release) : setup_.policy.idle_release;
+  std::array<std::size_t, 2> seen{};
   for (auto* m : idle) {
-    if (spare <= 0) return;
+    const auto kind = m->spot ? 1U : 0U;
+    const auto place = static_cast<double>(++seen.at(kind));
+    if (kind == 0 && place <= setup_.policy.warm_machines) continue;
+    const auto limit = place <= kept.at(kind) ? longest : std::min(longest, setup_.policy.surplus_release);
     if (now - m->idle_since < limit) continue;
     log_("machine " + m->id.value() + " to be released: idle");
     m->enter(MachinePhase::releasing, now);
-    --spare;
   }
 }
 
+// Once a second: how many machines are busy.
+void Scheduler::take_census(const Board& board, Time now) {
+  if (now < next_census_) return;
+  next_census_ = now + seconds(1);
+  std::array<std::size_t, 2> busy{};
+  std::array<std::size_t, 2> idle{};
+  std::size_t booting = 0;
+  for (const auto& [id, m] : machines_) {
+    if (m.phase() == MachinePhase::booting) ++booting;
+    if (m.phase() != MachinePhase::up && m.phase() != MachinePhase::draining) continue;
+    ++(m.empty() ? idle : busy).at(m.spot ? 1 : 0);
+  }
+  for (std::size_t kind : {0U, 1U}) load_.at(kind).add(static_cast<double>(busy.at(kind)));
+  if (now < next_census_log_) return;
+  next_census_log_ = now + seconds(10);
+  std::size_t pending = 0;
+  for (const auto& row : board.rows) pending += row.count;
+  log_("fleet: busy " + std::to_string(busy[0]) + " and " + std::to_string(busy[1]) + " spot, idle " +
+       std::to_string(idle[0]) + " and " + std::to_string(idle[1]) + " spot, booting " + std::to_string(booting) +
+       "; " + std::to_string(pending) + " tasks of " + std::to_string(board.rows.size()) + " jobs without a place");
+}
+
 }  // namespace martenwall
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -1,6 +1,7 @@
 // The leader's picture of jobs and machines, and every decision on them. No I/O and no clock:
 // time and events come in, orders, store changes and cloud requests go out.
 #pragma once
+#include <array>
 #include <functional>
 #include <map>
 #include <set>
@@ -22,6 +23,7 @@
   struct Setup {
     Policy policy;
     WorkerTerms terms;
+    StartAims aims;
     std::vector<Team> teams;
     std::size_t max_tasks_per_machine = 60;
     std::uint32_t part_size = 100;  // task indices in one row of the store
@@ -132,9 +134,13 @@
   void place(const Board& board, const Row& row, const std::vector<std::size_t>& columns, Time now);
   void preempt(Board& board, Time now);
   VictimTable victims(const Board& board, Time now);
+  [[nodiscard]] bool better_to_wait(const Row& row, Time now) const;
+  [[nodiscard]] std::optional<Time> room_expected(const Job& job, Time now) const;
   void evict(const Eviction& e, Row& row, Time now);
   void plan_fleet(Board& board, Ledger& ledger, Time now);
   void plan_releases(Time now);
+  void release_idle(std::vector<Machine*> idle, Time now);
+  void take_census(const Board& board, Time now);
   std::vector<Demand> unmet_demand(Board& board, Ledger& ledger);
   std::vector<Prospect> prospects(const Board& board, Time now) const;
 
@@ -151,6 +157,8 @@
   std::uint64_t hire_serial_ = 0;
   std::map<std::string, HireRequest> open_hires_;  // by name: asked for, not answered yet
   Time next_fleet_{};
+  Time next_census_{}, next_census_log_{};
+  std::array<LoadHistory, 2> load_;  // ordinary machines, spot machines
   std::map<std::string, double> lane_ratio_;  // learned: actual run time over the estimate
   std::map<JobId, Time> evicted_for_;
   std::map<JobId, Time> over_;
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -121,6 +121,10 @@
   setup.policy = ctx_.policy;
   setup.terms = ctx_.settings.workers;
   setup.teams = ctx_.settings.teams;
+  for (const auto& o : ctx_.settings.objectives) {
+    if (o.kind == "wait") setup.aims.by_lane[o.lane].push_back(o.within_s);
+    if (o.kind == "guarantee") setup.aims.guarantee_s = o.within_s;
+  }
   setup.token = ctx_.leadership.token();
   // The old key is gone, so its holder's last renewal is over; it may have gone on answering
   // workers for its grace from then.
