--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -155,6 +155,8 @@
           {"fleet.quiet.after.seconds", duration(p.quiet_after)},
           {"fleet.quiet.idle.seconds", duration(p.quiet_release)},
           {"fleet.warm.machines", count(p.warm_machines)},
+          {"fleet.reserve.deviations", number(p.reserve_deviations)},
+          {"fleet.surplus.idle.seconds", duration(p.surplus_release)},
           {"fleet.boot.patience", number(p.boot_patience)},
           {"fleet.capacity.retry.seconds", duration(p.capacity_retry)},
           {"leader.lease.seconds", duration(p.lease_ttl)},
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -70,6 +70,7 @@
 // What is worth knowing of a machine by a new leader; no rule depends on it.
 struct MachineFacts {
   MachineId id;
+  std::uint32_t group = 0;  // machines that share a row
   std::string addr, type, zone;
   bool spot = false;
   Session session;
@@ -100,8 +101,8 @@
 enum class RowKind { final_job, tasks, facts };
 struct RowKey {
   RowKind kind = RowKind::tasks;
-  std::string id;  // of the job or of the machine
-  std::uint32_t part = 0;
+  std::string id;          // of the job; empty for facts
+  std::uint32_t part = 0;  // of the job's tasks, or the group of machines
   auto operator<=>(const RowKey&) const = default;
 };
 struct RowWrite {
@@ -109,7 +110,7 @@
   Generation gen;  // of the job's part
   std::optional<FinalJob> final_job;
   std::optional<TaskRow> tasks;
-  std::optional<MachineFacts> facts;
+  std::vector<MachineFacts> facts;  // of one group of machines; empty: the row goes
 };
 
 }  // namespace martenwall
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -151,7 +151,7 @@
   std::optional<JobId> last_error_job;
   int slow_marks = 0;
   bool quarantined = false;
-  bool stored = false;  // a row may exist in the store
+  std::optional<std::uint32_t> group;  // whose row in the store tells of it
 
  private:
   MachinePhase phase_ = MachinePhase::booting;
--- a/src/core/policy.cpp
+++ b/src/core/policy.cpp
@@ -19,7 +19,7 @@
       quiet_after(seconds(40)),
       quiet_release(seconds(20)),
       warm_machines(1),
-      reserve_deviations(1.5),
+      reserve_deviations(2.0),
       surplus_release(seconds(15)),
       boot_patience(4.0),
       capacity_retry(seconds(12)),
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -31,7 +31,7 @@
   int warm_machines;
   double reserve_deviations;  // idle machines kept: scatter of the load's growth over a boot, times this
   Duration surplus_release;   // idle machines beyond that go back after
-  double boot_patience;  // times the nominal boot time before a machine is given up
+  double boot_patience;       // times the nominal boot time before a machine is given up
   Duration capacity_retry;
   bool direct_starts;
   int error_limit;  // failures in a row of different jobs: quarantine
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -27,6 +27,7 @@
     std::vector<Team> teams;
     std::size_t max_tasks_per_machine = 60;
     std::uint32_t part_size = 100;  // task indices in one row of the store
+    std::size_t group_size = 25;    // machines in one row
     Token token;
     Time old_leader_until{};  // the last moment at which an earlier leader may have answered a worker
   };
@@ -95,6 +96,7 @@
   std::optional<TaskRow> task_row(const Job& job, std::uint32_t part) const;
   RowWrite row_write(const RowKey& key);
   MachineFacts facts_of(const Machine& m) const;
+  void leave_group(Machine& m, Time now);
   void tasks_stored(const RowWrite& w);
   void end_stored(Job& job, Time now);
   void drop_if_over(const JobId& id);
@@ -158,14 +160,15 @@
   std::map<std::string, HireRequest> open_hires_;  // by name: asked for, not answered yet
   Time next_fleet_{};
   Time next_census_{}, next_census_log_{};
-  std::array<LoadHistory, 2> load_;  // ordinary machines, spot machines
+  std::array<LoadHistory, 2> load_;           // ordinary machines, spot machines
   std::map<std::string, double> lane_ratio_;  // learned: actual run time over the estimate
   std::map<JobId, Time> evicted_for_;
   std::map<JobId, Time> over_;
   std::map<std::string, ImageId> images_;
   std::vector<std::string> image_names_;
   WriteQueue writes_, facts_;
-  std::set<MachineId> touched_;  // direct commands may be due
+  std::map<std::uint32_t, std::set<MachineId>> groups_;  // machines that share a row of facts
+  std::set<MachineId> touched_;                          // direct commands may be due
   Ledger used_;
   std::uint64_t changes_ = 0;
   bool stale_ = true;
--- a/src/core/scheduler_cloud.cpp
+++ b/src/core/scheduler_cloud.cpp
@@ -54,7 +54,7 @@
     p.gone = true;
   }
   sweep(it->second);
-  if (it->second.stored) facts_.add({RowKind::facts, id.value(), 0}, now);
+  leave_group(it->second, now);
   machines_.erase(it);
   gone_[id] = now;
   stale_ = true;
--- a/src/core/scheduler_store.cpp
+++ b/src/core/scheduler_store.cpp
@@ -6,8 +6,8 @@
 namespace martenwall {
 
 namespace {
-constexpr std::size_t max_stored_images = 8;
-constexpr Duration facts_delay = seconds(5);    // images come in groups
+constexpr std::size_t max_stored_images = 12;
+constexpr Duration facts_delay = seconds(4);    // a group's images come one by one
 constexpr Duration removal_delay = seconds(2);  // rows that only a later leader would read
 }  // namespace
 
@@ -40,7 +40,8 @@
   m.zone = facts.zone;
   m.spot = facts.spot;
   m.session = facts.session;
-  m.stored = true;
+  m.group = facts.group;
+  groups_[facts.group].insert(facts.id);
   for (const auto& [name, gb] : facts.images) m.images.push_back({image_id(name), gb, true});
 }
 
@@ -118,7 +119,19 @@
 }
 
 void Scheduler::mark(Machine& machine, Time now) {
-  facts_.add({RowKind::facts, machine.id.value(), 0}, now + facts_delay);
+  if (!machine.group) {
+    std::uint32_t group = 0;
+    while (groups_[group].size() >= setup_.group_size) ++group;
+    machine.group = group;
+    groups_[group].insert(machine.id);
+  }
+  facts_.add({RowKind::facts, "", *machine.group}, now + facts_delay);
+}
+
+void Scheduler::leave_group(Machine& m, Time now) {
+  if (!m.group) return;
+  groups_[*m.group].erase(m.id);
+  facts_.add({RowKind::facts, "", *m.group}, now + facts_delay);
 }
 
 std::optional<TaskRow> Scheduler::task_row(const Job& job, std::uint32_t part) const {
@@ -146,7 +159,7 @@
 }
 
 MachineFacts Scheduler::facts_of(const Machine& m) const {
-  MachineFacts out{m.id, m.addr, m.type, m.zone, m.spot, m.session, {}};
+  MachineFacts out{m.id, m.group.value_or(0), m.addr, m.type, m.zone, m.spot, m.session, {}};
   // A new leader that knows no caches would send everyone to cold machines.
   for (const auto& image : m.images) {
     if (image.ready && out.images.size() < max_stored_images) {
@@ -159,10 +172,9 @@
 RowWrite Scheduler::row_write(const RowKey& key) {
   RowWrite w{key, Generation{0}, {}, {}, {}};
   if (key.kind == RowKind::facts) {
-    const auto it = machines_.find(MachineId{key.id});
-    if (it != machines_.end()) {
-      w.facts = facts_of(it->second);
-      it->second.stored = true;
+    for (const auto& id : groups_[key.part]) {
+      const auto it = machines_.find(id);
+      if (it != machines_.end()) w.facts.push_back(facts_of(it->second));
     }
     return w;
   }
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_under_way = 4;
 constexpr std::size_t bytes_per_task = 60;  // of a task row's value, its index in `on` and `done` together
 constexpr std::size_t row_overhead = 1200;
+constexpr std::size_t bytes_per_machine = 190;
 }  // namespace
 
 std::int64_t Context::wall_ms() {
@@ -131,6 +132,7 @@
   setup.old_leader_until = old_grace.count() > 0 ? acquired + old_grace + ctx_.policy.margin : acquired;
   const auto value = std::max(ctx_.settings.state_value_bytes, 2 * row_overhead);
   setup.part_size = static_cast<std::uint32_t>(std::min<std::size_t>(400, (value - row_overhead) / bytes_per_task));
+  setup.group_size = std::min<std::size_t>(60, (value - row_overhead) / bytes_per_machine);
   auto log = ctx_.log;
   auto scheduler = std::make_unique<Scheduler>(setup, [log](const std::string& line) { log->info(line); });
   const auto wall = Context::wall_ms();
@@ -145,8 +147,7 @@
   }
   for (const auto& item : machines->items) {
     versions_[item.key] = item.version;
-    const auto facts = wire::decode_machine(MachineId{item.key.substr(2)}, item.value);
-    if (facts) scheduler->load_machine(*facts, ctx_.now());
+    for (const auto& facts : wire::decode_machines(item.key, item.value)) scheduler->load_machine(facts, ctx_.now());
   }
   for (const auto& item : tasks->items) {
     versions_[item.key] = item.version;
@@ -288,8 +289,8 @@
     ops.push_back({key, wire::encode_final(*row.final_job), std::nullopt});
   } else if (row.tasks) {
     ops.push_back({key, wire::encode_tasks(*row.tasks), std::nullopt});
-  } else if (row.facts) {
-    ops.push_back({key, wire::encode_machine(*row.facts), std::nullopt});
+  } else if (!row.facts.empty()) {
+    ops.push_back({key, wire::encode_machines(row.facts), std::nullopt});
   } else if (versions_.contains(key)) {
     ops.push_back({key, std::nullopt, std::nullopt});
   }
@@ -415,7 +416,7 @@
 rt::Task<void> LeaderStore::write(std::uint64_t term) {
   constexpr Duration pause = seconds(0.2);
   while (ctx_.leads(term)) {
-    const bool spare = under_way_ == 0 && state_.has_spare_writes();
+    const bool spare = under_way_ <= 1 && state_.has_spare_writes();
     const bool room = under_way_ < max_under_way;
     std::vector<RowWrite> rows;
     if (room && ctx_.scheduler->has_writes(spare, ctx_.now())) {
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -112,7 +112,7 @@
   co_return out;
 }
 
-bool StateClient::has_spare_writes() { return writes_.level(ctx_.now()) > 0.5; }
+bool StateClient::has_spare_writes() { return writes_.level(ctx_.now()) > 0.3; }
 
 rt::Task<std::optional<LeaseId>> StateClient::create_lease(Duration ttl) {
   const rt::HttpResult r = co_await send("POST", "/leases", wire::encode_lease(ttl), seconds(1));
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -31,7 +31,7 @@
   rt::Task<TxnResult> txn(std::vector<wire::Condition> when, std::vector<wire::StoreOp> then, Duration timeout);
   // Which of the keys exist, in one request: a transaction that only compares.
   rt::Task<std::optional<std::set<std::string>>> existing(std::vector<std::string> keys, Duration timeout);
-  // More than half of this node's share of changes is unused at the moment.
+  // A good part of this node's share of changes is unused at the moment.
   [[nodiscard]] bool has_spare_writes();
   rt::Task<std::optional<LeaseId>> create_lease(Duration ttl);
   enum class Touch { renewed, ended, failed };
--- a/src/wire/state_codec.cpp
+++ b/src/wire/state_codec.cpp
@@ -81,7 +81,7 @@
 std::string job_key(const JobId& id) { return "j/" + id.value(); }
 std::string final_key(const JobId& id) { return "f/" + id.value(); }
 std::string inbox_key(const JobId& id) { return "i/" + id.value(); }
-std::string machine_key(const MachineId& id) { return "m/" + id.value(); }
+std::string machines_key(std::uint32_t group) { return "m/" + std::to_string(group); }
 std::string tasks_key(const JobId& id, std::uint32_t part) { return "p/" + id.value() + "/" + std::to_string(part); }
 
 std::string key_of(const RowKey& row) {
@@ -91,7 +91,7 @@
     case RowKind::tasks:
       return tasks_key(JobId{row.id}, row.part);
     default:
-      return machine_key(MachineId{row.id});
+      return machines_key(row.part);
   }
 }
 
@@ -184,27 +184,54 @@
   return row;
 }
 
-json encode_machine(const MachineFacts& m) {
-  return {{"addr", m.addr},    {"type", m.type}, {"zone", m.zone}, {"spot", m.spot}, {"session", m.session.value()},
-          {"images", m.images}};
+// Names of images stand once in a row: machines of a fleet hold the same few.
+json encode_machines(const std::vector<MachineFacts>& facts) {
+  std::map<std::string, std::size_t> numbers;
+  auto images = json::array();
+  auto machines = json::array();
+  for (const auto& m : facts) {
+    auto cached = json::array();
+    for (const auto& [name, gb] : m.images) {
+      const auto [it, fresh] = numbers.try_emplace(name, images.size());
+      if (fresh) images.push_back({name, gb});
+      cached.push_back(it->second);
+    }
+    machines.push_back({m.id.value(), m.addr, m.type, m.zone, m.spot, m.session.value(), std::move(cached)});
+  }
+  return {{"images", std::move(images)}, {"machines", std::move(machines)}};
 }
 
-std::optional<MachineFacts> decode_machine(const MachineId& id, const json& v) {
-  const auto type = text(v, "type");
-  if (!type) return std::nullopt;
-  MachineFacts m{id,
-                 text(v, "addr").value_or(""),
-                 *type,
-                 text(v, "zone").value_or(""),
-                 flag(v, "spot").value_or(false),
-                 Session{count(v, "session").value_or(0)},
-                 {}};
+std::vector<MachineFacts> decode_machines(const std::string& key, const json& v) {
+  std::vector<MachineFacts> out;
+  constexpr std::size_t prefix = 2;
+  constexpr std::size_t fields = 7;
+  const auto group = parse_task_id("g/" + key.substr(std::min(key.size(), prefix)));
+  if (!group) return out;
+  std::vector<std::pair<std::string, double>> images;
   for (const auto& i : list(v, "images")) {
-    if (i.is_array() && i.size() == 2 && i[0].is_string() && i[1].is_number()) {
-      m.images.emplace_back(i[0].get<std::string>(), i[1].get<double>());
+    if (!i.is_array() || i.size() != 2 || !i[0].is_string() || !i[1].is_number()) return out;
+    images.emplace_back(i[0].get<std::string>(), i[1].get<double>());
+  }
+  for (const auto& m : list(v, "machines")) {
+    const bool sound = m.is_array() && m.size() == fields && m[0].is_string() && m[1].is_string() && m[2].is_string() &&
+                       m[3].is_string() && m[4].is_boolean() && m[5].is_number_unsigned() && m[6].is_array();
+    if (!sound) continue;
+    MachineFacts f{MachineId{m[0].get<std::string>()},
+                   group->index,
+                   m[1],
+                   m[2],
+                   m[3],
+                   m[4].get<bool>(),
+                   Session{m[5].get<std::uint64_t>()},
+                   {}};
+    for (const auto& n : m[6]) {
+      if (n.is_number_unsigned() && n.get<std::size_t>() < images.size()) {
+        f.images.push_back(images[n.get<std::size_t>()]);
+      }
     }
+    out.push_back(std::move(f));
   }
-  return m;
+  return out;
 }
 
 json encode_note(const std::string& node, bool cancel) {
--- a/src/wire/state_codec.hpp
+++ b/src/wire/state_codec.hpp
@@ -1,6 +1,6 @@
 // The state service's protocol and the rows that the service keeps there.
 //   j/<job>         an unfinished job, as submitted     f/<job>  a finished or cancelled one, kept for good
-//   p/<job>/<part>  its tasks: done, or maybe on a machine    m/<id>  what is worth knowing of a machine
+//   p/<job>/<part>  its tasks: done, or maybe on a machine    m/<n>  what is worth knowing of some machines
 //   i/<job>         accepted, or asked to be cancelled, at a node other than the leader
 //   lead     the leader, under a lease          reign    the last leader's grace
 #pragma once
@@ -45,7 +45,7 @@
 std::string job_key(const JobId& id);
 std::string final_key(const JobId& id);
 std::string inbox_key(const JobId& id);
-std::string machine_key(const MachineId& id);
+std::string machines_key(std::uint32_t group);
 std::string tasks_key(const JobId& id, std::uint32_t part);
 std::string key_of(const RowKey& row);
 constexpr const char* leader_key = "lead";
@@ -67,8 +67,8 @@
 std::optional<FinalJob> decode_final(const JobId& id, const json& value);
 json encode_tasks(const TaskRow& row);
 std::optional<TaskRow> decode_tasks(const std::string& key, const json& value);
-json encode_machine(const MachineFacts& facts);
-std::optional<MachineFacts> decode_machine(const MachineId& id, const json& value);
+json encode_machines(const std::vector<MachineFacts>& facts);
+std::vector<MachineFacts> decode_machines(const std::string& key, const json& value);  // what can be read of it
 json encode_note(const std::string& node, bool cancel);
 bool asks_to_cancel(const json& note);
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -11,25 +11,27 @@
   std::uint64_t tick = 0;
   Scheduler s;
 
-  explicit Desk(bool direct = false) : s(setup(direct), [](const std::string&) {}) {
+  explicit Desk(bool direct = false, Duration surplus = Policy{}.surplus_release)
+      : s(setup(direct, surplus), [](const std::string&) {}) {
     s.set_types({{"g", {8, 4, 64}, 50, 1, 10, 3, 40, {"a", "b"}}});
   }
-  static Scheduler::Setup setup(bool direct) {
+  static Scheduler::Setup setup(bool direct, Duration surplus) {
     Scheduler::Setup u;
     u.terms = {3, 19, 50, 4, 39};
     u.teams = {{"red", {0, 4, 0}, {0, 8, 0}}, {"blue", {0, 4, 0}, {0, 4, 0}}};
     u.token = Token{50};
     u.old_leader_until = Time{seconds(1000)};
     u.policy.direct_starts = direct;
+    u.policy.surplus_release = surplus;
     return u;
   }
   WorkerReport report(const char* id, std::vector<TaskReport> tasks = {}, const char* zone = "a",
                       std::uint64_t token = 50) {
     WorkerReport r;
     r.machine = MachineId{id};
-    r.addr = "10.0.0.9:1";
-    r.type = "g";
-    r.zone = zone;
+    r.addr = std::string{"10.0.0.9:1"};
+    r.type = std::string{"g"};
+    r.zone = std::string{zone};
     r.session = Session{1};
     r.tick = Tick{++tick};
     r.token = Token{token};
@@ -82,7 +84,7 @@
   }
   // An earlier leader's row: the job's only task may be on i-1.
   void inherit(const JobId& id, std::uint64_t attempt) {
-    s.load_machine({MachineId{"i-1"}, "10.0.0.9:1", "g", "a", false, Session{1}, {}}, now);
+    s.load_machine({MachineId{"i-1"}, 0, "10.0.0.9:1", "g", "a", false, Session{1}, {}}, now);
     s.load_tasks(
         {id, 0, "red", {1, 1, 1}, Rank::normal, attempt + 1, {}, {{0, Attempt{attempt}, MachineId{"i-1"}, "a"}}}, now);
   }
@@ -197,7 +199,7 @@
 
 // Found with real processes: six machines stayed for over a minute with nothing to do.
 TEST(scheduler, idle_machines_go_back_sooner_when_no_one_submits) {
-  Desk d;
+  Desk d{false, Policy{}.idle_release};
   d.start_one();
   for (const auto* id : {"i-2", "i-3"}) d.beat(id);
   d.now += seconds(30);
@@ -221,6 +223,36 @@
   EXPECT_TRUE(d.s.was_final(JobId{"job-1"}));
 }
 
+// Found on the grown sites: hundreds of machines idled, each one used again just before its time was up.
+TEST(scheduler, machines_beyond_the_usual_growth_go_back_soon) {
+  Desk d;
+  d.start_one();
+  for (const auto* id : {"i-2", "i-3"}) d.beat(id);
+  // The load stays as it is for two minutes: nothing speaks for keeping more than the warm machine.
+  for (int i = 0; i < 120; ++i) {
+    d.now += seconds(1);
+    std::string id{"job-x"};
+    id += std::to_string(i);
+    d.job(id.c_str(), Shape::array, 1, 99);  // too large for any machine: only a submission
+    d.beat("i-1", {Desk::task("job-1", 0, 1, TaskState::running)});
+    for (const auto* idle : {"i-2", "i-3"}) d.beat(idle);
+    d.s.round(d.now);
+  }
+  EXPECT_EQ(1U, d.s.take_releases(d.now).size());
+}
+
+TEST(load_history, keeps_what_the_load_grows_by_at_times) {
+  LoadHistory steady;
+  LoadHistory restless;
+  for (int i = 0; i < 150; ++i) {
+    steady.add(40);
+    restless.add(40 + 10 * (i / 30 % 2));  // up and down by 10 each half minute
+  }
+  EXPECT_EQ(0.0, steady.reserve(30, 2));
+  EXPECT_GT(restless.reserve(30, 2), 10.0);
+  EXPECT_LT(restless.reserve(30, 2), 25.0);
+}
+
 // Found by inc-6852: leaders that changed every 40 s knew no caches and placed on cold machines.
 TEST(scheduler, a_new_leader_knows_the_cached_images) {
   Desk d;
@@ -229,10 +261,11 @@
   const auto rows = d.commit();
   const auto* facts = Desk::find(rows, RowKind::facts);
   ASSERT_NE(nullptr, facts);
-  ASSERT_EQ(1U, facts->facts->images.size());
-  EXPECT_EQ("img", facts->facts->images[0].first);
+  ASSERT_EQ(1U, facts->facts.size());
+  ASSERT_EQ(1U, facts->facts[0].images.size());
+  EXPECT_EQ("img", facts->facts[0].images[0].first);
   Desk next;
-  next.s.load_machine(*facts->facts, next.now);
+  next.s.load_machine(facts->facts[0], next.now);
   EXPECT_EQ(1U, next.s.machines().at(MachineId{"i-1"}).images.size());
 }
 
--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -105,7 +105,9 @@
   for (const auto& [id, s] : stored_jobs_) {
     if (!s.final) n.scheduler->load_job(s.job, now_);
   }
-  for (const auto& [id, facts] : stored_facts_) n.scheduler->load_machine(facts, now_);
+  for (const auto& [group, row] : stored_facts_) {
+    for (const auto& facts : row) n.scheduler->load_machine(facts, now_);
+  }
   for (const auto& [key, row] : stored_tasks_) n.scheduler->load_tasks(row, now_);
   n.scheduler->finish_load(now_);
   n.scheduler->set_types(types_);
@@ -187,12 +189,12 @@
     if (s.job.phase == JobPhase::done && completed_[id].size() != s.job.spec.tasks) breach("not_done " + row.key.id);
   } else if (row.tasks) {
     stored_tasks_.insert_or_assign({id, row.key.part}, *row.tasks);
-  } else if (row.facts) {
-    stored_facts_.insert_or_assign(row.facts->id, *row.facts);
+  } else if (!row.facts.empty()) {
+    stored_facts_.insert_or_assign(row.key.part, row.facts);
   } else if (row.key.kind == RowKind::tasks) {
     stored_tasks_.erase({id, row.key.part});
   } else {
-    stored_facts_.erase(MachineId{row.key.id});
+    stored_facts_.erase(row.key.part);
   }
 }
 
--- a/tests/simulation.hpp
+++ b/tests/simulation.hpp
@@ -119,7 +119,7 @@
   std::optional<Token> lead_;
   Time lead_until_{};
   std::map<JobId, StoredJob> stored_jobs_;
-  std::map<MachineId, MachineFacts> stored_facts_;
+  std::map<std::uint32_t, std::vector<MachineFacts>> stored_facts_;
   std::map<std::pair<JobId, std::uint32_t>, TaskRow> stored_tasks_;
   // truth
   std::map<JobId, JobSpec> submitted_;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -106,6 +106,22 @@
   }
 }
 
+RC_GTEST_PROP(state_codec, rows_of_machines_survive_their_encoding, (const std::vector<std::uint8_t>& images)) {
+  std::vector<MachineFacts> row;
+  for (std::size_t i = 0; i <= images.size() / 3; ++i) {
+    row.push_back({MachineId{"i-" + std::to_string(i)}, 7, "10.0.0.1:9", "g8", "a", i % 2 == 0, Session{i}, {}});
+  }
+  for (std::size_t i = 0; i < images.size(); ++i) {
+    row[i / 3].images.emplace_back("img-" + std::to_string(images[i] % 5), 2.5);
+  }
+  const auto back = decode_machines(machines_key(7), json::parse(encode_machines(row).dump()));
+  RC_ASSERT(back.size() == row.size());
+  for (std::size_t i = 0; i < row.size(); ++i) {
+    RC_ASSERT(back[i].id == row[i].id && back[i].group == 7U && back[i].session == row[i].session);
+    RC_ASSERT(back[i].images == row[i].images && back[i].spot == row[i].spot && back[i].zone == "a");
+  }
+}
+
 TEST(state_codec, a_full_task_row_stays_small) {
   // What the part size is computed with: 60 bytes for each index, 1,200 besides.
   TaskRow row{JobId{"job-" + std::string(110, 'x')}, 0, std::string(200, 't'), {1.25, 2, 3}, Rank::high, 99, {}, {}};
