--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -134,6 +134,7 @@
   expire(now);
   if (types_.empty()) return;
   auto board = make_board(now);
+  work_ = {board.rows.size(), board.columns.size(), 0};
   hold_for_gangs(board, used_);
   auto matrix = build_matrix(board);
   auto used = used_;
@@ -213,7 +214,10 @@
     if (now < row.job->preempt_after || evicted_for_.contains(spec.id) || better_to_wait(row, now)) continue;
     const std::uint32_t wanted = spec.shape == Shape::gang ? spec.tasks : 1;
     if (used_.room_for(spec.team, spec.need) < wanted) continue;
-    if (!table) table = victims(board, now);
+    if (!table) {
+      table = victims(board, now);
+      for (const auto& m : *table) work_.victims += m.victims.size();
+    }
     --tries;
     const auto plan = plan_eviction(*table, row);
     if (!plan) {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -75,6 +75,11 @@
   void expire(Time now);
   // Something happened since the last round that may change its outcome.
   [[nodiscard]] bool stale() const { return stale_; }
+  // What the last round had to look at; its cost follows these.
+  struct RoundWork {
+    std::size_t rows = 0, columns = 0, victims = 0;
+  };
+  [[nodiscard]] const RoundWork& last_round() const { return work_; }
 
   // The store: rows to be written now, and what became of them. `spare`: also those that no rule needs.
   std::vector<RowWrite> take_writes(std::size_t most, bool spare, Time now);
@@ -172,6 +177,7 @@
   Ledger used_;
   std::uint64_t changes_ = 0;
   bool stale_ = true;
+  RoundWork work_;
 };
 
 }  // namespace martenwall
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -48,6 +48,8 @@
   std::mt19937_64 random;
 
   [[nodiscard]] Time now() const { return loop.now(); }
+  // The state service answered lately; followers hear of it every 2 s at least.
+  [[nodiscard]] bool reaches_state() const { return now() - state_ok < seconds(3.5); }
   [[nodiscard]] bool leads(std::uint64_t t) const { return term == t && scheduler != nullptr; }
   [[nodiscard]] bool proven() const { return scheduler != nullptr && leadership.proven(loop.now()); }
   void kick() {
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -41,6 +41,7 @@
   rt::spawn(cloud_.run_list());
   rt::spawn(cloud_.run_fleet());
   rt::spawn(peers_.serve());
+  rt::spawn(peers_.watch_others());
   rt::spawn(users_.run_questions());
   rt::spawn(server_.serve());
   ctx_.log->info("{} serves on {}, grace {} s", ctx_.settings.node, ctx_.settings.listen,
--- a/src/service/peer_service.cpp
+++ b/src/service/peer_service.cpp
@@ -10,6 +10,9 @@
 constexpr std::size_t max_idle = 8;
 constexpr Duration idle_limit = seconds(60);
 constexpr Duration link_pause = seconds(1);
+constexpr Duration ping_every = seconds(0.7);
+constexpr Duration ping_limit = seconds(0.6);
+constexpr Duration ping_valid = seconds(3);
 }  // namespace
 
 PeerService::PeerService(Context& ctx, Handler handler)
@@ -88,6 +91,32 @@
   }
 }
 
+rt::Task<void> PeerService::ping(std::size_t peer) {
+  const Time deadline = ctx_.now() + ping_limit;
+  const auto reply = co_await ask(ctx_.settings.peers[peer].addr,
+                                  wire::encode_frame(wire::PeerRequest{wire::PeerVerb::ping, "", "", {}}), deadline);
+  if (reply) seen_[peer] = {ctx_.now(), reply->status == 200};
+}
+
+rt::Task<void> PeerService::watch_others() {
+  seen_.resize(ctx_.settings.peers.size());
+  for (;;) {
+    co_await ctx_.loop.sleep(ping_every);
+    if (ctx_.reaches_state()) continue;
+    for (std::size_t i = 0; i < seen_.size(); ++i) rt::spawn(ping(i));
+  }
+}
+
+PeerService::Others PeerService::others() const {
+  auto out = Others::unreachable;
+  for (const auto& s : seen_) {
+    if (ctx_.now() - s.at > ping_valid) continue;
+    if (s.serving) return Others::serving;
+    out = Others::as_stuck;
+  }
+  return out;
+}
+
 rt::Task<std::optional<wire::PeerReply>> PeerService::ask_leader(wire::PeerRequest request, Duration timeout) {
   const auto peer = std::ranges::find(ctx_.settings.peers, ctx_.leader, &config::Peer::node);
   if (peer == ctx_.settings.peers.end()) co_return std::nullopt;
--- a/src/service/peer_service.hpp
+++ b/src/service/peer_service.hpp
@@ -17,8 +17,13 @@
   rt::Task<void> serve();
   // Nothing where the leader is unknown, unreachable or does not lead any more.
   rt::Task<std::optional<wire::PeerReply>> ask_leader(wire::PeerRequest request, Duration timeout);
+  // While this node cannot serve by itself: asks the others whether they can.
+  rt::Task<void> watch_others();
+  enum class Others { unreachable, as_stuck, serving };
+  [[nodiscard]] Others others() const;
 
  private:
+  rt::Task<void> ping(std::size_t peer);
   rt::Task<void> connection(rt::Socket socket);
   rt::Task<std::optional<std::string>> read_frame(rt::Socket& socket, std::string& spare, Time deadline);
   rt::Task<std::optional<wire::PeerReply>> ask(std::string addr, std::string frame, Time deadline);
@@ -27,6 +32,11 @@
   Handler handler_;
   rt::Listener listener_;
   std::size_t open_ = 0;
+  struct Seen {
+    Time at{};
+    bool serving = false;
+  };
+  std::vector<Seen> seen_;    // by peer: its last answer to a ping
   std::string link_down_to_;  // the leader that could not be reached lately
   Time link_down_until_{};
   std::map<std::string, std::vector<rt::Socket>> idle_;
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -26,7 +26,10 @@
 bool UserService::healthy() const {
   if (ctx_.types.empty()) return false;
   const Duration fresh = seconds(4);
-  return ctx_.now() - ctx_.state_ok < fresh || ctx_.now() - ctx_.leader_ok < fresh;
+  if (ctx_.now() - ctx_.state_ok < fresh || ctx_.now() - ctx_.leader_ok < fresh) return true;
+  // In an outage that all nodes share none is better than this one: were all taken out, users would find no
+  // node for some time after its end too. A node that is cut off alone must go.
+  return peers_ != nullptr && peers_->others() == PeerService::Others::as_stuck;
 }
 
 UserService::Fit UserService::can_run(const JobSpec& spec, std::string& why) const {
@@ -304,6 +307,7 @@
 // ---- asked by other nodes ----
 
 rt::Task<wire::PeerReply> UserService::on_peer(wire::PeerRequest request) {
+  if (request.verb == wire::PeerVerb::ping) co_return wire::PeerReply{ctx_.reaches_state() ? 200 : 503, "", {}};
   if (!ctx_.proven()) co_return wire::PeerReply{421, "{}", {}};
   if (request.verb == wire::PeerVerb::statuses) {
     wire::PeerReply reply{200, "", {}};
--- a/src/wire/peer_codec.hpp
+++ b/src/wire/peer_codec.hpp
@@ -8,7 +8,7 @@
 
 namespace martenwall::wire {
 
-enum class PeerVerb : std::uint8_t { submit = 1, status = 2, cancel = 3, statuses = 4 };
+enum class PeerVerb : std::uint8_t { submit = 1, status = 2, cancel = 3, statuses = 4, ping = 5 };
 
 struct PeerRequest {
   PeerVerb verb = PeerVerb::status;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -18,7 +18,7 @@
   static Scheduler::Setup setup(bool direct, Duration surplus) {
     Scheduler::Setup u;
     u.terms = {3, 19, 50, 4, 39};
-    u.teams = {{"red", {0, 4, 0}, {0, 8, 0}}, {"blue", {0, 4, 0}, {0, 4, 0}}};
+    u.teams = {{"red", {0, 4, 0}, {0, 8, 0}}, {"blue", {0, 4, 0}, {0, 4, 0}}, {"wide", {}, {0, 1e6, 0}}};
     u.token = Token{50};
     u.old_leader_until = Time{seconds(1000)};
     u.policy.direct_starts = direct;
@@ -320,6 +320,39 @@
   EXPECT_EQ(99996U, job->pending_tasks());
 }
 
+// At 1,500 machines a round must cost by what changed: full machines are no columns, and where nothing can be
+// stopped for the waiting work, no placement is looked at.
+TEST(scheduler, full_machines_cost_a_round_nothing) {
+  Desk d;
+  std::vector<std::string> names;
+  for (int i = 0; i < 1500; ++i) {
+    names.emplace_back("i-");
+    names.back() += std::to_string(100000 + i);
+    d.beat(names.back().c_str());
+  }
+  d.s.round(d.now);
+  EXPECT_EQ(0U, d.s.last_round().columns);  // nothing waits
+  d.job("job-1", Shape::array, 2, 4);
+  d.s.round(d.now);
+  EXPECT_EQ(1500U, d.s.last_round().columns);
+  EXPECT_EQ(2U, d.s.find_job(JobId{"job-1"})->placed.size());
+  for (int i = 0; i < 1498; ++i) {
+    std::string id{"job-f"};
+    id += std::to_string(i);
+    d.job(id.c_str(), Shape::array, 1, 4, "wide");
+  }
+  d.s.round(d.now);
+  for (int i = 0; i < 40; ++i) {
+    std::string id{"job-w"};
+    id += std::to_string(i);
+    d.job(id.c_str(), Shape::array, 5, 4, "wide", Rank::best_effort);
+  }
+  for (int i = 0; i < 20; ++i) d.s.round(d.now);  // those that the bound on a round's matrix left over
+  EXPECT_EQ(0U, d.s.last_round().columns);
+  EXPECT_EQ(40U, d.s.last_round().rows);
+  EXPECT_EQ(0U, d.s.last_round().victims);
+}
+
 // The rows of a wide array must stay within the size of a value, and only the parts that changed are written.
 TEST(scheduler, a_wide_array_is_stored_in_parts) {
   Desk d;
