--- a/src/service/peer_service.cpp
+++ b/src/service/peer_service.cpp
@@ -92,6 +92,11 @@
 }
 
 rt::Task<void> PeerService::ping(std::size_t peer) {
+  // Named, not made within the co_await: GCC 12 destroys an aggregate made there twice (found by inc-4c3d,
+  // in which all nodes ended as soon as the state service failed).
+  const wire::PeerRequest request{wire::PeerVerb::ping, "", "", {}};
+  std::string addr = ctx_.settings.peers[peer].addr;
+  std::string frame = wire::encode_frame(request);
   const Time deadline = ctx_.now() + ping_limit;
   const auto reply = co_await ask(ctx_.settings.peers[peer].addr,
                                   wire::encode_frame(wire::PeerRequest{wire::PeerVerb::ping, "", "", {}}), deadline);
--- a/src/service/peer_service.hpp
+++ b/src/service/peer_service.hpp
@@ -19,6 +19,7 @@
   rt::Task<std::optional<wire::PeerReply>> ask_leader(wire::PeerRequest request, Duration timeout);
   // While this node cannot serve by itself: asks the others whether they can.
   rt::Task<void> watch_others();
+  [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
   enum class Others { unreachable, as_stuck, serving };
   [[nodiscard]] Others others() const;
 
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -103,8 +103,9 @@
   if (!admitted) co_return std::nullopt;
   std::vector<wire::Condition> when;
   for (auto& key : keys) when.push_back({std::move(key), Stamp{0}});
-  const rt::HttpResult r =
-      co_await send("POST", "/multi", wire::encode_txn(when, {}), std::max(Duration{10000}, until - ctx_.now()));
+  std::string body = wire::encode_txn(when, {});
+  const Duration left = std::max(Duration{10000}, until - ctx_.now());
+  const rt::HttpResult r = co_await send("POST", "/multi", std::move(body), left);
   std::set<std::string> out;
   if (r.ok()) co_return out;
   if (r.outcome != rt::Outcome::answered || r.status != 409) co_return std::nullopt;
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -252,7 +252,8 @@
       const bool placed = there->contains(wire::tasks_key(q->id, 0));
       settle(*q, {Known::yes, {q->id, placed ? JobPhase::running : JobPhase::pending, 0, 0}});
     } else {
-      settle(*q, co_await read_status(q->id));
+      Finding found = co_await read_status(q->id);
+      settle(*q, std::move(found));
     }
   }
 }
