--- a/src/service/peer_service.cpp
+++ b/src/service/peer_service.cpp
@@ -98,8 +98,7 @@
   std::string addr = ctx_.settings.peers[peer].addr;
   std::string frame = wire::encode_frame(request);
   const Time deadline = ctx_.now() + ping_limit;
-  const auto reply = co_await ask(ctx_.settings.peers[peer].addr,
-                                  wire::encode_frame(wire::PeerRequest{wire::PeerVerb::ping, "", "", {}}), deadline);
+  const auto reply = co_await ask(std::move(addr), std::move(frame), deadline);
   if (reply) seen_[peer] = {ctx_.now(), reply->status == 200};
 }
 
