--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -130,7 +130,9 @@
 }
 
 double LoadHistory::reserve(std::size_t horizon, double deviations) const {
-  if (samples_.size() <= horizon + 1) return samples_.empty() ? 0 : samples_.back();  // too early to tell
+  if (samples_.empty()) return 0;
+  const double by_chance = deviations * std::sqrt(*std::ranges::max_element(samples_));
+  if (samples_.size() <= horizon + 1) return std::max(by_chance, samples_.back());  // too early to tell more
   double sum = 0;
   double squares = 0;
   const std::size_t n = samples_.size() - horizon;
@@ -141,7 +143,7 @@
   }
   const double mean = sum / static_cast<double>(n);
   const double variance = std::max(0.0, squares / static_cast<double>(n) - mean * mean);
-  return std::max(0.0, std::min(mean, 0.0) + deviations * std::sqrt(variance));
+  return std::max(by_chance, std::min(mean, 0.0) + deviations * std::sqrt(variance));
 }
 
 std::vector<HireRequest> plan_hires(const FleetView& view, const std::vector<Demand>& demands) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -61,7 +61,8 @@
 class LoadHistory {
  public:
   void add(double busy);
-  // The usual growth over `horizon` samples and `deviations` times its scatter, at least 0.
+  // What the load may grow by over `horizon` samples: `deviations` times the scatter of its growth lately, or
+  // of a load that comes by chance (its root), since a small fleet's history tells too little.
   [[nodiscard]] double reserve(std::size_t horizon, double deviations) const;
 
  private:
