--- a/src/service/peer_service.cpp
+++ b/src/service/peer_service.cpp
@@ -124,7 +124,7 @@
 rt::Task<std::optional<wire::PeerReply>> PeerService::ask_leader(wire::PeerRequest request, Duration timeout) {
   const auto peer = std::ranges::find(ctx_.settings.peers, ctx_.leader, &config::Peer::node);
   if (peer == ctx_.settings.peers.end()) co_return std::nullopt;
-  if (ctx_.now() < link_down_until_ && link_down_to_ == ctx_.leader) co_return std::nullopt;
+  if (leader_unreachable()) co_return std::nullopt;
   const std::string leader = ctx_.leader;
   const Time deadline = ctx_.now() + timeout;
   auto reply = co_await ask(peer->addr, wire::encode_frame(request), deadline);
--- a/src/service/peer_service.hpp
+++ b/src/service/peer_service.hpp
@@ -17,6 +17,10 @@
   rt::Task<void> serve();
   // Nothing where the leader is unknown, unreachable or does not lead any more.
   rt::Task<std::optional<wire::PeerReply>> ask_leader(wire::PeerRequest request, Duration timeout);
+  // The leader could not be reached a moment ago, so that it is not asked now.
+  [[nodiscard]] bool leader_unreachable() const {
+    return ctx_.now() < link_down_until_ && link_down_to_ == ctx_.leader;
+  }
   // While this node cannot serve by itself: asks the others whether they can.
   rt::Task<void> watch_others();
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -6,7 +6,7 @@
 constexpr std::size_t max_response = 16 * 1024 * 1024;
 constexpr double leader_share = 0.62;
 constexpr double follower_share = 0.18;
-constexpr double renewal_reserve = 4;  // requests kept for lease renewals
+constexpr double poll_reserve = 0.4;  // of this node's share of requests: polls leave it for submissions
 }  // namespace
 
 StateClient::StateClient(Context& ctx)
@@ -15,7 +15,7 @@
       requests_(ctx.settings.state_rps * follower_share),
       writes_(ctx.settings.state_write_rps * follower_share) {}
 
-rt::Task<bool> StateClient::admit(double writes, Duration longest) {
+rt::Task<bool> StateClient::admit(double writes, Duration longest, double keep) {
   const Time until = ctx_.now() + longest;
   for (;;) {
     const double share = ctx_.scheduler != nullptr ? leader_share : follower_share;
@@ -24,7 +24,7 @@
     Duration wait = writes > 0 ? writes_.take(writes, 0, ctx_.now()) : Duration{0};
     if (wait.count() == 0) {
       writes = 0;
-      wait = requests_.take(1, renewal_reserve, ctx_.now());
+      wait = requests_.take(1, keep, ctx_.now());
     }
     if (wait.count() == 0) co_return true;
     if (ctx_.now() + wait > until) co_return false;
@@ -99,7 +99,8 @@
 
 rt::Task<std::optional<std::set<std::string>>> StateClient::existing(std::vector<std::string> keys, Duration timeout) {
   const Time until = ctx_.now() + timeout;
-  const bool admitted = co_await admit(0, timeout);
+  const double keep = ctx_.settings.state_rps * follower_share * poll_reserve;
+  const bool admitted = co_await admit(0, timeout, keep);
   if (!admitted) co_return std::nullopt;
   std::vector<wire::Condition> when;
   for (auto& key : keys) when.push_back({std::move(key), Stamp{0}});
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -45,8 +45,10 @@
   rt::Task<WatchResult> watch(std::string prefix, Revision after, Duration hold);
 
  private:
-  // False where the share is so far overdrawn that the caller should not wait.
-  rt::Task<bool> admit(double writes, Duration longest);
+  static constexpr double renewal_reserve = 4;  // requests kept for lease renewals
+  // `keep`: requests that others may need more. False where the share is so far overdrawn that the caller should not
+  // wait.
+  rt::Task<bool> admit(double writes, Duration longest, double keep = renewal_reserve);
   rt::Task<rt::HttpResult> send(std::string method, std::string target, std::string body, Duration timeout);
 
   Context& ctx_;
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -14,9 +14,10 @@
 
 rt::HttpResponse no_such_job() { return {404, wire::encode_error("no such job"), {}, false}; }
 
-constexpr Duration poll_limit = seconds(1.5);     // a user waits 2 s; an older answer could be an outdated one
-constexpr Duration gather = seconds(0.015);       // how long polls wait for each other
-constexpr Duration forward_limit = seconds(0.6);  // the store is the other way
+constexpr Duration poll_limit = seconds(1.5);        // a user waits 2 s; an older answer could be an outdated one
+constexpr Duration gather = seconds(0.015);          // how long polls wait for each other
+constexpr Duration gather_for_store = seconds(0.2);  // the same where the leader cannot be asked: requests are few
+constexpr Duration forward_limit = seconds(0.6);     // the store is the other way
 constexpr std::size_t max_batches = 4;
 constexpr std::size_t max_asked = 2000;
 constexpr std::size_t keys_per_question = 3;
@@ -192,7 +193,7 @@
       co_await wake_.wait(until);
       continue;
     }
-    co_await ctx_.loop.sleep(gather);
+    co_await ctx_.loop.sleep(peers_->leader_unreachable() ? gather_for_store : gather);
     const auto n = std::min(asked_.size(), wire::max_peer_jobs);
     Questions batch{asked_.begin(), asked_.begin() + static_cast<std::ptrdiff_t>(n)};
     asked_.erase(asked_.begin(), asked_.begin() + static_cast<std::ptrdiff_t>(n));
