--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -149,7 +149,6 @@
   Time no_starts_before{};
   int errors = 0;  // failures in a row, from different jobs
   std::optional<JobId> last_error_job;
-  int slow_marks = 0;
   bool quarantined = false;
   std::optional<std::uint32_t> group;  // whose row in the store tells of it
 
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -341,8 +341,6 @@
   for (const bool spot : {false, true}) {
     kept[spot ? 1 : 0] = load_[spot ? 1 : 0].reserve(horizon, setup_.policy.reserve_deviations);
   }
-  // Ordinary machines serve everyone, so they are the ones to keep warm.
-  kept[0] = std::max(kept[0], static_cast<double>(setup_.policy.warm_machines));
   // The one that idled shortest is kept first: placements prefer it too, so the others' time comes.
   std::ranges::stable_sort(idle, std::greater{}, &Machine::idle_since);
   const bool quiet = now - last_submission_ > setup_.policy.quiet_after;
@@ -352,6 +350,7 @@
   for (auto* m : idle) {
     const auto kind = m->spot ? 1U : 0U;
     const auto place = static_cast<double>(++seen.at(kind));
+    // Ordinary machines serve everyone, so they are the ones to keep warm.
     if (kind == 0 && place <= setup_.policy.warm_machines) continue;
     const auto limit = place <= kept.at(kind) ? longest : std::min(longest, setup_.policy.surplus_release);
     if (now - m->idle_since < limit) continue;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -85,13 +85,9 @@
   Job& job = it->second;
   if (is_final(job.phase)) return true;
   finish_job(job, JobPhase::cancelled, now);
-  for (const auto& [index, machine] : std::map{job.placed}) {
-    auto& m = machines_.at(machine);
-    for (auto& p : m.placements) {
-      if (p.occupies() && p.task.job == id) want_stop(m, p, 0, now, "cancelled");
-    }
-    sweep(m);
-  }
+  const std::map placed = job.placed;
+  stop_placed(job, 0, now, "cancelled");
+  for (const auto& [index, machine] : placed) sweep(machines_.at(machine));
   return true;
 }
 
@@ -317,14 +313,18 @@
 }
 
 void Scheduler::break_gang(Job& job, Time now) {
-  if (is_final(job.phase)) return;
+  if (!is_final(job.phase)) stop_placed(job, 0, now, "its gang is broken");
+}
+
+// All tasks of the job that may be on a machine; a stray among them is being stopped already.
+void Scheduler::stop_placed(Job& job, double grace_s, Time now, const char* why) {
+  // A copy: what was not started yet is given back at once.
   for (const auto& [index, id] : std::map{job.placed}) {
     const auto it = machines_.find(id);
     if (it == machines_.end()) continue;
     for (auto& p : it->second.placements) {
-      if (p.occupies() && !p.stray && p.task.job == job.spec.id) {
-        want_stop(it->second, p, 0, now, "its gang is broken");
-      }
+      if (p.occupies() && p.task.index == index && p.task.job == job.spec.id)
+        want_stop(it->second, p, grace_s, now, why);
     }
   }
 }
@@ -466,13 +466,7 @@
 
 // A gang is stopped in order on all its machines, or its progress is lost.
 void Scheduler::stop_in_order(Job& job, Time now, const char* why) {
-  const double grace = job.spec.checkpoint_s > 0 ? job.spec.save_s : 0;
-  for (const auto& [index, id] : std::map{job.placed}) {
-    auto& m = machines_.at(id);
-    for (auto& p : m.placements) {
-      if (p.occupies() && p.task.job == job.spec.id && p.task.index == index) want_stop(m, p, grace, now, why);
-    }
-  }
+  stop_placed(job, job.spec.checkpoint_s > 0 ? job.spec.save_s : 0, now, why);
 }
 
 std::vector<Order> Scheduler::orders_for(Machine& m, Tick tick, Time now, bool proven) {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -124,6 +124,7 @@
   void give_back(Machine& m, const Placement& p, Time now);
   void sweep(Machine& m);
   void want_stop(Machine& m, Placement& p, double grace_s, Time now, const char* why);
+  void stop_placed(Job& job, double grace_s, Time now, const char* why);
   void stop_in_order(Job& job, Time now, const char* why);
   void break_gang(Job& job, Time now);
   void drain(Machine& m, Time now, const char* why);
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -323,9 +323,7 @@
   if (!wire::valid_job_id(request.job)) co_return wire::PeerReply{404, "{}", {}};
   rt::HttpResponse r;
   JobId id{request.job};
-  if (request.verb == wire::PeerVerb::status) {
-    r = co_await status(request.job);
-  } else if (request.verb == wire::PeerVerb::cancel) {
+  if (request.verb == wire::PeerVerb::cancel) {
     r = co_await cancel_here(id);
   } else {
     auto parsed = wire::parse_job(request.body);
--- a/src/wire/peer_codec.hpp
+++ b/src/wire/peer_codec.hpp
@@ -8,10 +8,10 @@
 
 namespace martenwall::wire {
 
-enum class PeerVerb : std::uint8_t { submit = 1, status = 2, cancel = 3, statuses = 4, ping = 5 };
+enum class PeerVerb : std::uint8_t { submit = 1, cancel = 3, statuses = 4, ping = 5 };
 
 struct PeerRequest {
-  PeerVerb verb = PeerVerb::status;
+  PeerVerb verb = PeerVerb::statuses;
   std::string job;
   std::string body;
   std::vector<std::string> jobs{};  // `statuses`: many questions in one frame
