--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -39,8 +39,9 @@
     return d;
   }
   [[nodiscard]] double number_or(const char* name, double fallback) const {
-    return value_.contains(name) && !value_.at(name).is_null() ? number(name, 0) : fallback;
+    return has(name) ? number(name, 0) : fallback;
   }
+  [[nodiscard]] bool has(const char* name) const { return value_.contains(name) && !value_.at(name).is_null(); }
   [[nodiscard]] std::size_t count(const char* name, std::size_t least) const {
     return static_cast<std::size_t>(number(name, static_cast<double>(least)));
   }
@@ -94,6 +95,15 @@
   s.state_write_rps = state.number("write_rps", 1);
   s.state_value_bytes = static_cast<std::size_t>(state.number("value_kb", 1) * 1024);
   s.state_txn_ops = state.count("txn_ops", 4);
+  if (state.has("next")) {
+    const auto next = state.object("next");
+    Settings::NextLimits n;
+    if (next.has("rps")) n.rps = next.number("rps", 1);
+    if (next.has("write_rps")) n.write_rps = next.number("write_rps", 1);
+    if (next.has("value_kb")) n.value_bytes = static_cast<std::size_t>(next.number("value_kb", 1) * 1024);
+    if (next.has("txn_ops")) n.txn_ops = next.count("txn_ops", 4);
+    s.state_next = n;
+  }
   const auto cloud = facts.object("cloud");
   s.cloud_rps = cloud.number("rps", 0.01);
   s.cloud_lag = seconds(cloud.number("list_lag_s", 0));
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -1,5 +1,6 @@
 // The platform's settings file (JSON) and the operators' own properties.
 #pragma once
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -26,6 +27,12 @@
   WorkerTerms workers;
   double state_rps = 100, state_write_rps = 40;
   std::size_t state_value_bytes = 8 * 1024, state_txn_ops = 24;
+  // What the state service will allow from some moment on; what is not said of it stays as it is.
+  struct NextLimits {
+    std::optional<double> rps, write_rps;
+    std::optional<std::size_t> value_bytes, txn_ops;
+  };
+  std::optional<NextLimits> state_next;
   double cloud_rps = 2;
   Duration cloud_lag = seconds(3);
   std::size_t max_connections = 1000;
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -59,6 +59,7 @@
   JobId id;
   JobPhase phase = JobPhase::done;
   std::uint32_t tasks = 0, done = 0;
+  bool chained = false;  // where its own row stood
 };
 
 struct JobStatus {
@@ -77,12 +78,13 @@
   std::vector<std::pair<std::string, double>> images;  // cached, most recent first
 };
 
-// One part of a job: a run of its task indices. It says which of them are done and which may be on a
-// machine, and no attempt from `next_attempt` on was used for any of them. Team, need and rank stand here
-// too, since the tasks of a cancelled job outlive its own row.
+// A run of a job's task indices. It says which of them are done and which may be on a machine, and no attempt
+// from `next_attempt` on was used for any of them. Team, need and rank stand here too, since the tasks of a
+// cancelled job outlive its own row. Where the runs of several rows overlap, the one that begins last counts.
 struct TaskRow {
   JobId job;
-  std::uint32_t part = 0;
+  std::uint32_t first = 0, size = 0;
+  bool legacy = false;  // its key has a number instead of `first`; its run follows from the value's limit
   std::string team;
   Resources need;
   Rank rank = Rank::normal;
@@ -99,19 +101,21 @@
 };
 
 // A row of the store that is to be written; what is not set is removed.
-enum class RowKind { final_job, tasks, facts };
+enum class RowKind { final_job, legacy_tasks, tasks, facts };
 struct RowKey {
   RowKind kind = RowKind::tasks;
   std::string id;          // of the job; empty for facts
-  std::uint32_t part = 0;  // of the job's tasks, or the group of machines
+  std::uint32_t part = 0;  // first index of the run, the number of a legacy row, or the group of machines
   auto operator<=>(const RowKey&) const = default;
 };
 struct RowWrite {
   RowKey key;
-  Generation gen;  // of the job's part
+  Generation gen;          // of the job's part
+  std::uint32_t size = 0;  // of its run
   std::optional<FinalJob> final_job;
   std::optional<TaskRow> tasks;
-  std::vector<MachineFacts> facts;  // of one group of machines; empty: the row goes
+  std::vector<MachineFacts> facts;    // of one group of machines; empty: the row goes
+  std::vector<std::string> pieces{};  // further keys of the job's own row, which go with it
 };
 
 }  // namespace martenwall
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -15,7 +15,9 @@
 
 enum class Shape { array, gang, service };
 enum class Rank { best_effort, normal, high, production };
-enum class JobPhase { pending, running, done, cancelled };
+// `waiting`: jobs that it awaits are not all done; users are told `pending`.
+enum class JobPhase { pending, running, done, cancelled, waiting };
+std::string_view name_of(JobPhase p);
 
 constexpr bool is_final(JobPhase p) { return p == JobPhase::done || p == JobPhase::cancelled; }
 
@@ -59,6 +61,7 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<JobId> awaits;  // have to be done before any task of it starts; no two alike
 };
 
 enum class TaskState { planned, sent, fetching, waiting, running, saving, ended };
@@ -166,12 +169,19 @@
   bool final_stored = false;  // its end is in the store and may be told
   bool ghost = false;         // its end was stored by an earlier leader; only its last tasks are looked after
   ImageId image;
-  // What is known of each part's row in the store; a part is a run of task indices.
+  // What is known of each row of its tasks in the store; a row tells of a run of task indices.
   struct Part {
+    std::uint32_t size = 0;  // of the run
     Generation changed, stored;
-    bool in_store = false;  // a row of it may exist
+    std::uint32_t in_store = 0;  // how many indices the row that may exist tells of; 0: there is none
   };
-  std::map<std::uint32_t, Part> parts;
+  using Parts = std::map<std::uint32_t, Part>;  // by the first index; no two overlap
+  Parts spans;                                  // rows that name their runs themselves
+  Parts legacy;                                 // rows by number, which versions of level 1 read and write
+  bool chained = false;                         // its own row stands where level 1 does not look
+  std::vector<std::string> pieces;              // further keys that its own row is spread over
+  Time released{};                              // when the last job that it awaits was done
+  std::set<JobId> open;                         // of those that it awaits, the ones not known to be done
   // In memory only:
   std::map<std::uint32_t, MachineId> placed;             // tasks that may be on a machine
   std::set<std::pair<std::uint32_t, MachineId>> strays;  // found on a second machine besides
@@ -189,6 +199,8 @@
   std::optional<Time> room_at;  // when machines that are on their way will have room for all of it
   std::uint32_t running = 0;    // tasks reported as running
 
+  // The one function that changes the phase; an end is for good.
+  bool enter(JobPhase next);
   [[nodiscard]] std::uint32_t pending_tasks() const;
   [[nodiscard]] std::optional<std::uint32_t> next_pending() const;
   [[nodiscard]] std::uint32_t unfinished() const { return spec.tasks - done.count(); }
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -26,7 +26,7 @@
   if (a.job->suspect != b.job->suspect) return b.job->suspect;
   if (a.job->spec.rank != b.job->spec.rank) return a.job->spec.rank > b.job->spec.rank;
   if (a.within_guarantee != b.within_guarantee) return a.within_guarantee;
-  return a.job->submitted < b.job->submitted;
+  return a.job->released < b.job->released;
 }
 
 }  // namespace
@@ -39,7 +39,7 @@
 std::set<JobId> Scheduler::jobs_within_guarantee() const {
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : jobs_) {
-    if (!is_final(job.phase)) by_team[job.spec.team].push_back(&job);
+    if (!is_final(job.phase) && job.phase != JobPhase::waiting) by_team[job.spec.team].push_back(&job);
   }
   std::set<JobId> out;
   for (auto& [name, list] : by_team) {
@@ -47,7 +47,7 @@
     if (team == teams_.end()) continue;
     const auto& g = team->second.guarantee;
     if (g.cpus <= 0 && g.gpus <= 0) continue;
-    std::ranges::stable_sort(list, {}, [](const Job* j) { return j->submitted; });
+    std::ranges::stable_sort(list, {}, &Job::released);
     Resources sum;
     for (const auto* job : list) {
       sum.add(job->spec.need, job->unfinished());
@@ -78,14 +78,14 @@
 // for the next gang, and cost three times as much. Not for ever: where spot machines do not come it may use any.
 bool Scheduler::keeps_to_spot(const Job& job, bool any_spot, Time now) const {
   if (!job.spec.spot || urgency_of(job) != Urgency::borrowed) return false;
-  return now - job.submitted < (any_spot ? setup_.policy.guest_patience : setup_.policy.guest_patience_without_spot);
+  return now - job.released < (any_spot ? setup_.policy.guest_patience : setup_.policy.guest_patience_without_spot);
 }
 
 void Scheduler::add_rows(Board& board, Time now) {
   board.guaranteed = jobs_within_guarantee();
   const bool any_spot = std::ranges::any_of(machines_, [](const auto& m) { return m.second.spot; });
   for (auto& [id, job] : jobs_) {
-    if (is_final(job.phase) || now < job.not_before) continue;
+    if (is_final(job.phase) || job.phase == JobPhase::waiting || now < job.not_before) continue;
     std::uint32_t count = job.pending_tasks();
     if (job.spec.shape == Shape::gang && (!job.placed.empty() || count < job.spec.tasks)) continue;
     const auto first = job.done.lowest_unfinished();
@@ -203,7 +203,7 @@
   if (row.within_guarantee && setup_.aims.guarantee_s > 0) bounds.push_back(setup_.aims.guarantee_s);
   const Time soonest = now + seconds(least_eviction_s);
   return std::ranges::none_of(bounds, [&](double within_s) {
-    const Time due = job.submitted + seconds(within_s);
+    const Time due = job.released + seconds(within_s);
     return soonest <= due && *expected > due;
   });
 }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -57,6 +57,7 @@
 void Scheduler::add_job(Job job, Time now) {
   if (jobs_.contains(job.spec.id) || over_.contains(job.spec.id)) return;
   job.waiting_since = now;
+  job.released = job.spec.awaits.empty() ? job.submitted : now;
   job.image = image_id(job.spec.image);
   stale_ = true;
   if (last_submission_ != Time{} && now > last_submission_) {
@@ -66,7 +67,8 @@
   auto id = job.spec.id;
   log_("job " + id.value() + " taken: " + std::to_string(job.spec.tasks) + " tasks of " + job.spec.lane + ", team " +
        job.spec.team);
-  jobs_.emplace(std::move(id), std::move(job));
+  const auto it = jobs_.emplace(std::move(id), std::move(job)).first;
+  await_others(it->second, now);
 }
 
 const Job* Scheduler::find_job(const JobId& id) const {
@@ -77,6 +79,10 @@
 std::optional<JobStatus> Scheduler::status(const JobId& id) const {
   const auto* job = find_job(id);
   if (job == nullptr || job->ghost) return std::nullopt;
+  // One that it awaits may be known elsewhere to be cancelled.
+  if (!job->final_stored && !job->open.empty() && !(lookups_.empty() && asked_.empty())) return std::nullopt;
+  // Taken along by a cancellation that was told, perhaps long ago: not called active until its own end is stored.
+  if (!job->final_stored && cascade_of_.contains(id)) return std::nullopt;
   JobStatus s{id, job->phase, std::min(job->done.count(), job->spec.tasks), job->running};
   // A final phase is told only once it is stored: until then the job is as it was before.
   if (is_final(s.phase) && job->final_stored) return s;
@@ -98,16 +104,17 @@
 
 void Scheduler::finish_job(Job& job, JobPhase phase, Time now) {
   if (phase == JobPhase::cancelled && job.failures > 0) clear_machines_of(job, now);
-  job.phase = phase;
+  job.enter(phase);
+  forget_awaited(job);
   over_[job.spec.id] = now;
   job.returned.clear();
   job.next_fresh = job.spec.tasks;
-  // A cancellation's user waits for the answer, whoever it is.
-  const auto urgency = phase == JobPhase::cancelled ? Urgency::awaited : urgency_of(job);
-  writes_.add({RowKind::final_job, job.spec.id.value(), 0}, now, urgency);
+  // A cancellation's user waits for the answer, whoever it is; so do jobs that await this one.
+  const RowKey key{RowKind::final_job, job.spec.id.value(), 0};
+  writes_.add(key, now, urgency_of(key));
   if (phase == JobPhase::done) {
     // Its end says more than its tasks' ends would: one change fewer for each job, which a swarm of small ones needs.
-    for (const auto& [part, row] : job.parts) writes_.drop({RowKind::tasks, job.spec.id.value(), part});
+    drop_rows(job);
   }
   stale_ = true;
   log_("job " + job.spec.id.value() + (phase == JobPhase::done ? " done" : " cancelled") + " after " +
@@ -146,7 +153,9 @@
   if (!m.seen && r.session < m.session) return {};
   m.last_heard = now;
   if (source == ReportSource::beat) m.last_beat = now;
-  if (r.session != m.session) new_session(m, r, now);
+  // What the store says of a machine's session may be older than what it says of its tasks, or missing: until the
+  // machine has reported to this leader, another session proves nothing (the simulation found tasks started twice).
+  if (m.seen && r.session != m.session) new_session(m, r, now);
   m.session = r.session;
   m.tick = r.tick;
   if (!m.seen) {
@@ -226,7 +235,7 @@
     if (fresh) mark(m, now);
   }
   if (t.state == TaskState::running) {
-    if (job.phase == JobPhase::pending) job.phase = JobPhase::running;
+    if (job.phase == JobPhase::pending) job.enter(JobPhase::running);
     log_("task " + to_string(p.task) + " runs on " + m.id.value() + ", " +
          std::to_string(to_seconds(now - p.placed_at)) + " s after its placement");
   }
@@ -574,8 +583,16 @@
 bool Scheduler::is_stored(const Placement& p) const {
   const auto* job = find_job(p.task.job);
   if (job == nullptr || job->final_stored) return true;
-  const auto part = job->parts.find(part_of(p.task.index));
-  return p.gen == Generation{0} || (part != job->parts.end() && p.gen <= part->second.stored);
+  if (p.gen == Generation{0}) return true;
+  const auto told = [&](const Job::Parts& parts) -> std::optional<bool> {
+    const auto next = parts.upper_bound(p.task.index);
+    if (next == parts.begin()) return std::nullopt;
+    const auto& [first, part] = *std::prev(next);
+    if (p.task.index >= first + part.size) return std::nullopt;
+    return p.gen <= part.stored;
+  };
+  if (const auto in_span = told(job->spans)) return *in_span;
+  return told(job->legacy).value_or(false);
 }
 
 // ---- time ----
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -26,8 +26,10 @@
     StartAims aims;
     std::vector<Team> teams;
     std::size_t max_tasks_per_machine = 60;
-    std::uint32_t part_size = 100;  // task indices in one row of the store
-    std::size_t group_size = 25;    // machines in one row
+    bool spans = true;                // all nodes read rows that name their runs; else rows by number are written
+    std::uint32_t legacy_size = 100;  // task indices in a row by number
+    std::uint32_t span_size = 40;     // in a row that names its run
+    std::size_t group_size = 25;      // machines in one row
     Token token;
     Time old_leader_until{};  // the last moment at which an earlier leader may have answered a worker
   };
@@ -35,7 +37,8 @@
   Scheduler(Setup setup, Log log);
 
   // Loading by a new leader.
-  // In this order; a task row without a job is what a finished one left behind.
+  // In this order; a task row without a job is what a finished one left behind. Of each job the rows that name
+  // their runs come first, those that begin last before the others; then those by number.
   void load_job(Job job, Time now);
   void load_machine(const MachineFacts& facts, Time now);
   void load_tasks(const TaskRow& row, Time now);
@@ -53,6 +56,14 @@
   // Marks the job cancelled; the answer may go out once `status` tells it. False: not known here.
   bool cancel(const JobId& id, Time now);
 
+  // Jobs that others await (scheduler_chains.cpp). Those of which neither an end nor a beginning is known here are
+  // to be looked up in the store; `on_end_found` takes what was found, `ask_again` where nothing was.
+  std::vector<JobId> take_lookups();
+  void on_end_found(const JobId& id, JobPhase phase, Time now);
+  void ask_again(const JobId& id);
+  // All ends that this job's cancellation brought about are stored.
+  [[nodiscard]] bool cascade_stored(const JobId& id) const { return !cascades_.contains(id); }
+
   // Workers. `proven`: leadership holds, so starts may go out.
   std::vector<Order> on_report(const WorkerReport& report, ReportSource source, Time now, bool proven);
   [[nodiscard]] bool is_gone(const MachineId& id) const { return gone_.contains(id); }
@@ -84,6 +95,14 @@
 
   // The store: rows to be written now, and what became of them. `spare`: also those that no rule needs.
   std::vector<RowWrite> take_writes(std::size_t most, bool spare, Time now);
+  // From now on all nodes read rows that name their runs.
+  void use_spans(Time now);
+  [[nodiscard]] bool uses_spans() const { return setup_.spans; }
+  void set_row_sizes(std::uint32_t span_size, std::size_t group_size);
+  // Not written: too large for the store. False where it cannot be divided any further.
+  bool divide(const RowWrite& write, Time now);
+  void put_back(const std::vector<RowWrite>& writes, Duration delay, Time now);
+  [[nodiscard]] std::size_t legacy_rows() const;  // in the store, to be replaced
   void stored(const std::vector<RowWrite>& writes, Time now);
   [[nodiscard]] bool has_writes(bool spare, Time now) const {
     return writes_.ready(Urgency::awaited, now) || writes_.ready(Urgency::borrowed, now) ||
@@ -99,13 +118,32 @@
   [[nodiscard]] Urgency urgency_of(const Job& job) const;
   Generation mark(Job& job, std::uint32_t index, Duration delay, Time now);
   void mark(Machine& machine, Time now);
-  [[nodiscard]] std::uint32_t part_of(std::uint32_t index) const { return index / setup_.part_size; }
+  std::pair<RowKey, Job::Part*> part_for(Job& job, std::uint32_t index);
+  Job::Parts::iterator span_for(Job& job, std::uint32_t index);
+  static void add_spans(Job& job, std::uint32_t first, std::uint32_t end);
+  [[nodiscard]] std::uint32_t legacy_end(const Job& job, std::uint32_t first) const;
+  void cover_legacy(Job& job, Time now);
+  [[nodiscard]] bool superseded(const Job& job, std::uint32_t legacy_first) const;
+  void drop_superseded(Job& job, std::uint32_t first, std::uint32_t size, Time now);
+  bool successors_stored(const Job& job, std::uint32_t first, Time now);
+  void queue_rows(Job& job, Time due, Urgency urgency);
+  void drop_rows(const Job& job);
+  void load_held(Job& job, const TaskRow& row, const TaskRow::Held& h, Time now);
+  template <class F>
+  static void for_rows(const Job& job, std::uint32_t legacy_size, F&& f);
+  [[nodiscard]] Urgency urgency_of(const RowKey& key) const;
+  void await_others(Job& job, Time now);
+  void on_end(const JobId& id, JobPhase phase, Time now);
+  void release(Job& job, Time now);
+  void cascade(const JobId& root, const std::set<JobId>& by, Time now);
+  void forget_awaited(const Job& job);
+  void cascaded_end_stored(const JobId& id);
   [[nodiscard]] bool is_stored(const Placement& p) const;
-  [[nodiscard]] std::optional<TaskRow> task_row(const Job& job, std::uint32_t part) const;
+  [[nodiscard]] std::optional<TaskRow> task_row(const Job& job, std::uint32_t first, std::uint32_t size) const;
   RowWrite row_write(const RowKey& key);
   [[nodiscard]] MachineFacts facts_of(const Machine& m) const;
   void leave_group(Machine& m, Time now);
-  void tasks_stored(const RowWrite& w);
+  void tasks_stored(const RowWrite& w, Time now);
   void end_stored(Job& job, Time now);
   void drop_if_over(const JobId& id);
   Machine& known_machine(const MachineId& id, Time now);
@@ -186,6 +224,10 @@
   std::array<LoadHistory, 2> load_;           // ordinary machines, spot machines
   std::map<std::string, double> lane_ratio_;  // learned: actual run time over the estimate
   std::map<JobId, Time> evicted_for_;
+  std::map<JobId, std::set<JobId>> awaited_;   // by whom; those whose end is not known
+  std::set<JobId> lookups_, asked_;            // awaited ones of which nothing is known here
+  std::map<JobId, std::set<JobId>> cascades_;  // ends brought about by a cancellation, not stored yet
+  std::map<JobId, JobId> cascade_of_;
   std::map<JobId, Time> over_;
   std::map<std::string, ImageId> images_;
   std::vector<std::string> image_names_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,7 +24,8 @@
 
 int main(int argc, char** argv) {
   CLI::App app{"martenwall: a cluster scheduler (controller node)"};
-  app.set_version_flag("--version", std::string{"martenwall "} + MARTENWALL_VERSION);
+  app.set_version_flag("--version", std::string{"martenwall "} + MARTENWALL_VERSION + ", level " +
+                                        std::to_string(martenwall::wire::this_level));
   std::string config_path;
   std::string properties_path;
   bool check_only = false;
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -14,6 +14,8 @@
 #include "runtime/http_client.hpp"
 #include "runtime/loop.hpp"
 #include "service/final_memory.hpp"
+#include "service/store_limits.hpp"
+#include "wire/state_codec.hpp"
 
 namespace martenwall::service {
 
@@ -23,6 +25,8 @@
         settings(std::move(s)),
         policy(p),
         log(std::move(logger)),
+        limits(settings),
+        legacy_size(legacy_size_for(settings.state_value_bytes)),
         leadership(policy, settings.workers),
         hearing(settings.workers),
         wake(l),
@@ -35,6 +39,9 @@
   config::Settings settings;
   Policy policy;
   std::shared_ptr<spdlog::logger> log;
+  StoreLimits limits;
+  std::uint64_t level = 1;    // that all nodes are known to have reached
+  std::uint32_t legacy_size;  // task indices in a row by number; once the level was raised, as stored with it
   Leadership leadership;
   Hearing hearing;                       // do workers reach this node?
   TurnedAway turned_away;                // workers that were sent to the leader
@@ -70,6 +77,8 @@
   }
   [[nodiscard]] bool has_other_leader() const { return !leader.empty() && leader != settings.node; }
   static std::int64_t wall_ms();
+  // As versions of level 1 reckon it, to the number: another size would give their rows another meaning.
+  static std::uint32_t legacy_size_for(std::size_t value_bytes);
 };
 
 }  // namespace martenwall::service
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -11,11 +11,19 @@
 constexpr std::size_t max_txn_bytes = 48 * 1024;  // of the 64 KiB, the rest is for conditions and framing
 constexpr Duration watch_hold = seconds(2);
 constexpr std::size_t max_under_way = 4;
-constexpr std::size_t bytes_per_task = 60;  // of a task row's value, its index in `on` and `done` together
-constexpr std::size_t row_overhead = 1200;
-constexpr std::size_t bytes_per_machine = 190;
+constexpr Duration too_large_pause = seconds(0.05);
+constexpr Duration look_up_every = seconds(0.1);
+constexpr Duration look_up_again = seconds(1);  // a job that is to be found at neither key nor among those over
+constexpr std::size_t worth_a_run = 3;          // so many ends are read in runs of neighbours rather than one by one
 }  // namespace
 
+std::uint32_t Context::legacy_size_for(std::size_t value_bytes) {
+  constexpr std::size_t bytes_per_task = 60;
+  constexpr std::size_t row_overhead = 1200;
+  const auto value = std::max(value_bytes, 2 * row_overhead);
+  return static_cast<std::uint32_t>(std::min<std::size_t>(400, (value - row_overhead) / bytes_per_task));
+}
+
 std::int64_t Context::wall_ms() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
       .count();
@@ -42,6 +50,7 @@
     }
     rt::spawn(watch_inbox(term));
     rt::spawn(write(term));
+    rt::spawn(look_up(term));
     ctx_.leader_changed.notify();
     ctx_.kick();
     while (ctx_.term == term) {
@@ -106,6 +115,7 @@
   versions_.clear();
   inbox_done_.clear();
   inbox_cancels_.clear();
+  leftover_pieces_.clear();
   under_way_ = 0;
   ctx_.leadership.acquired(Token{r.item.version.value()}, sent);
   ctx_.leader = ctx_.settings.node;
@@ -114,16 +124,31 @@
   co_return true;
 }
 
-rt::Task<bool> LeaderStore::load(std::uint64_t term, Duration old_grace) {
-  const Time acquired = ctx_.now();
-  auto jobs = co_await state_.list("j/");
-  if (!jobs || ctx_.term != term) co_return false;
-  auto machines = co_await state_.list("m/");
-  if (!machines || ctx_.term != term) co_return false;
-  auto tasks = co_await state_.list("p/");
-  if (!tasks || ctx_.term != term) co_return false;
-  auto inbox = co_await state_.list("i/");
-  if (!inbox || ctx_.term != term) co_return false;
+rt::Task<bool> LeaderStore::read_rows(std::uint64_t term, Rows& rows) {
+  struct Part {
+    const char* prefix;
+    std::vector<wire::StoreItem>* into;
+  };
+  std::vector<Part> parts{{"j/", &rows.jobs}};
+  // Below that level there are none, and every request of a take-over counts.
+  if (ctx_.level >= wire::this_level) parts.push_back({"k/", &rows.jobs});
+  parts.push_back({"m/", &rows.machines});
+  parts.push_back({"p/", &rows.legacy});
+  if (ctx_.level >= wire::this_level) parts.push_back({"q/", &rows.spans});
+  parts.push_back({"i/", &rows.notes});
+  for (const auto& part : parts) {
+    auto page = co_await state_.list(part.prefix);
+    if (!page || ctx_.term != term) co_return false;
+    rows.notes_revision = page->revision;
+    for (auto& item : page->items) {
+      versions_[item.key] = item.version;
+      part.into->push_back(std::move(item));
+    }
+  }
+  co_return true;
+}
+
+Scheduler::Setup LeaderStore::setup_of(Duration old_grace, Time acquired) const {
   Scheduler::Setup setup;
   setup.policy = ctx_.policy;
   setup.terms = ctx_.settings.workers;
@@ -136,49 +161,81 @@
   // The old key is gone, so its holder's last renewal is over; it may have gone on answering
   // workers for its grace from then.
   setup.old_leader_until = old_grace.count() > 0 ? acquired + old_grace + ctx_.policy.margin : acquired;
-  const auto value = std::max(ctx_.settings.state_value_bytes, 2 * row_overhead);
-  setup.part_size = static_cast<std::uint32_t>(std::min<std::size_t>(400, (value - row_overhead) / bytes_per_task));
-  setup.group_size = std::min<std::size_t>(60, (value - row_overhead) / bytes_per_machine);
-  auto log = ctx_.log;
-  auto scheduler = std::make_unique<Scheduler>(setup, [log](const std::string& line) { log->info(line); });
-  const auto wall = Context::wall_ms();
-  for (const auto& item : jobs->items) {
-    versions_[item.key] = item.version;
-    auto job = wire::decode_job_row(item.value, ctx_.now(), wall);
+  setup.spans = ctx_.level >= wire::this_level;
+  setup.legacy_size = ctx_.legacy_size;
+  return setup;
+}
+
+rt::Task<bool> LeaderStore::load_jobs(std::uint64_t term, Scheduler& scheduler,
+                                      const std::vector<wire::StoreItem>& items) {
+  for (const auto& item : items) {
+    JobId id{item.key.substr(2)};
+    auto job = co_await job_rows_.decode(std::move(id), item.value);
+    if (ctx_.term != term) co_return false;
     if (job) {
-      scheduler->load_job(std::move(*job), ctx_.now());
+      job->chained = item.key.starts_with("k/");
+      scheduler.load_job(std::move(*job), ctx_.now());
     } else {
       ctx_.log->error("row {} cannot be read; it is left as it is", item.key);
     }
   }
-  for (const auto& item : machines->items) {
-    versions_[item.key] = item.version;
-    for (const auto& facts : wire::decode_machines(item.key, item.value)) scheduler->load_machine(facts, ctx_.now());
+  co_return true;
+}
+
+// False where a row cannot be read: not knowing what may be on a machine, this node must not place anything.
+bool LeaderStore::load_tasks(Scheduler& scheduler, const Rows& rows) {
+  std::vector<TaskRow> tasks;
+  const auto take = [&](const wire::StoreItem& item, std::optional<TaskRow> row) {
+    if (!row) ctx_.log->error("row {} cannot be read: not leading", item.key);
+    if (row) tasks.push_back(std::move(*row));
+    return row.has_value();
+  };
+  for (const auto& item : rows.spans) {
+    if (!take(item, wire::decode_tasks(item.key, item.value))) return false;
   }
-  for (const auto& item : tasks->items) {
-    versions_[item.key] = item.version;
-    const auto row = wire::decode_tasks(item.key, item.value);
-    if (!row) {
-      // Not knowing what may be on a machine, this node must not place anything.
-      ctx_.log->error("row {} cannot be read: not leading", item.key);
-      co_return false;
-    }
-    scheduler->load_tasks(*row, ctx_.now());
+  // Of overlapping runs the one that begins last counts: it comes first.
+  std::ranges::stable_sort(
+      tasks, [](const TaskRow& a, const TaskRow& b) { return a.job != b.job ? a.job < b.job : a.first > b.first; });
+  for (const auto& item : rows.legacy) {
+    if (!take(item, wire::decode_legacy_tasks(item.key, item.value, ctx_.legacy_size))) return false;
   }
-  for (const auto& item : inbox->items) {
-    versions_[item.key] = item.version;
+  for (const auto& row : tasks) scheduler.load_tasks(row, ctx_.now());
+  return true;
+}
+
+rt::Task<bool> LeaderStore::load(std::uint64_t term, Duration old_grace) {
+  const Time acquired = ctx_.now();
+  // First: it tells where rows are, and only the leader raises it.
+  const bool level_known = co_await levels_.read();
+  if (!level_known || ctx_.term != term) co_return false;
+  Rows rows;
+  const bool read = co_await read_rows(term, rows);
+  if (!read) co_return false;
+  auto log = ctx_.log;
+  auto scheduler =
+      std::make_unique<Scheduler>(setup_of(old_grace, acquired), [log](const std::string& line) { log->info(line); });
+  const bool jobs_loaded = co_await load_jobs(term, *scheduler, rows.jobs);
+  if (!jobs_loaded) co_return false;
+  for (const auto& item : rows.machines) {
+    for (const auto& facts : wire::decode_machines(item.key, item.value)) scheduler->load_machine(facts, ctx_.now());
+  }
+  if (!load_tasks(*scheduler, rows)) co_return false;
+  for (const auto& item : rows.notes) {
     if (wire::is_reach_key(item.key)) continue;  // meant for an earlier leader
     inbox_done_.emplace_back(item.key.substr(2));
     if (wire::asks_to_cancel(item.value)) inbox_cancels_.emplace_back(item.key.substr(2));
   }
-  inbox_after_ = inbox->revision;
-  scheduler->finish_load(ctx_.now());
-  for (const auto& id : std::exchange(inbox_cancels_, {})) scheduler->cancel(id, ctx_.now());
-  scheduler->set_types(ctx_.types);
+  inbox_after_ = rows.notes_revision;
   ctx_.scheduler = std::move(scheduler);
+  apply_limits(ctx_);
+  ctx_.scheduler->finish_load(ctx_.now());
+  for (const auto& id : std::exchange(inbox_cancels_, {})) ctx_.scheduler->cancel(id, ctx_.now());
+  ctx_.scheduler->set_types(ctx_.types);
   ctx_.leadership.loaded(ctx_.now());
   ctx_.hearing.began(ctx_.now());
-  ctx_.log->info("loaded {} jobs and {} machines", jobs->items.size(), machines->items.size());
+  ctx_.log->info("loaded {} jobs and {} machines in {} s, level {}; {} rows by number are to be divided",
+                 rows.jobs.size(), rows.machines.size(), to_seconds(ctx_.now() - acquired), ctx_.level,
+                 ctx_.level >= wire::this_level ? ctx_.scheduler->legacy_rows() : 0);
   co_return true;
 }
 
@@ -227,20 +284,16 @@
   const auto id = job.spec.id;
   // A row that was read before its job became final must not start it again: users were told.
   if (ctx_.scheduler->find_job(id) != nullptr || ctx_.scheduler->was_final(id) || ctx_.finals.find(id)) return;
-  versions_[wire::job_key(id)] = version;
+  versions_[wire::job_key(id, job.chained)] = version;
   ctx_.scheduler->add_job(std::move(job), ctx_.now());
   ctx_.kick();
 }
 
 rt::Task<void> LeaderStore::take_inbox(std::uint64_t term, JobId id, bool cancel) {
   if (ctx_.scheduler->find_job(id) == nullptr) {
-    const ReadResult r = co_await state_.get(wire::job_key(id), seconds(1));
-    if (!ctx_.leads(term)) co_return;
-    if (r.outcome == ReadOutcome::found) {
-      auto job = wire::decode_job_row(r.item.value, ctx_.now(), Context::wall_ms());
-      if (job) adopt(term, std::move(*job), r.item.version);
-    }
-    if (r.outcome == ReadOutcome::failed) co_return;
+    JobRows::Read r = co_await job_rows_.read(id);
+    if (!ctx_.leads(term) || r.outcome == ReadOutcome::failed) co_return;
+    if (r.job) adopt(term, std::move(*r.job), r.version);
   }
   if (cancel) {
     ctx_.scheduler->cancel(id, ctx_.now());
@@ -280,6 +333,93 @@
   }
 }
 
+// ---- ends of awaited jobs ----
+
+// The job is not over: accepted at another node a moment ago, or its end comes between the two looks.
+rt::Task<void> LeaderStore::find_active(std::uint64_t term, JobId id) {
+  JobRows::Read r = co_await job_rows_.read(id);
+  if (!ctx_.leads(term)) co_return;
+  if (r.job) adopt(term, std::move(*r.job), r.version);
+  if (ctx_.scheduler->find_job(id) == nullptr) co_await ctx_.loop.sleep(look_up_again);
+  if (ctx_.leads(term)) ctx_.scheduler->ask_again(id);
+}
+
+rt::Task<void> LeaderStore::look_up_one(std::uint64_t term, JobId id) {
+  const ReadResult r = co_await state_.get(wire::final_key(id), seconds(1));
+  if (!ctx_.leads(term)) co_return;
+  const auto end = r.outcome == ReadOutcome::found ? wire::decode_final(id, r.item.value) : std::nullopt;
+  if (end) {
+    ctx_.finals.add({id, end->phase, end->done, 0});
+    ctx_.scheduler->on_end_found(id, end->phase, ctx_.now());
+    ctx_.kick();
+  } else if (r.outcome == ReadOutcome::absent) {
+    rt::spawn(find_active(term, id));
+  } else {
+    ctx_.scheduler->ask_again(id);
+  }
+}
+
+// Ends lie in the order of their keys: a page tells of all that are asked for between its first and its last.
+rt::Task<void> LeaderStore::look_up_run(std::uint64_t term, std::vector<JobId> ids) {
+  for (std::size_t i = 0; i < ids.size();) {
+    std::string after = wire::final_key(ids[i]);
+    const char last = after.back();
+    const bool digit = last > '0' && last <= '9';
+    if (ids.size() - i < worth_a_run || !digit) {
+      co_await look_up_one(term, ids[i++]);
+      if (!ctx_.leads(term)) co_return;
+      continue;
+    }
+    // Just before the first one: no id has a '~'.
+    after.back() = static_cast<char>(last - 1);
+    after += '~';
+    const auto page = co_await state_.page("f/", std::move(after));
+    if (!ctx_.leads(term)) co_return;
+    if (!page) {
+      ctx_.scheduler->ask_again(ids[i++]);
+      continue;
+    }
+    std::map<std::string, const wire::json*> ends;
+    for (const auto& item : page->items) ends.emplace(item.key, &item.value);
+    const auto reached = [&](const std::string& key) {
+      return !page->more || ends.empty() || key <= ends.rbegin()->first;
+    };
+    for (; i < ids.size() && reached(wire::final_key(ids[i])); ++i) {
+      const auto found = ends.find(wire::final_key(ids[i]));
+      const auto end = found == ends.end() ? std::nullopt : wire::decode_final(ids[i], *found->second);
+      if (end) {
+        ctx_.finals.add({ids[i], end->phase, end->done, 0});
+        ctx_.scheduler->on_end_found(ids[i], end->phase, ctx_.now());
+      } else {
+        rt::spawn(find_active(term, ids[i]));
+      }
+    }
+    ctx_.kick();
+  }
+}
+
+rt::Task<void> LeaderStore::look_up(std::uint64_t term) {
+  while (ctx_.leads(term)) {
+    std::vector<JobId> ids = ctx_.scheduler->take_lookups();
+    const auto began = ctx_.now();
+    const auto asked = ids.size();
+    std::erase_if(ids, [&](const JobId& id) {
+      const auto over = ctx_.finals.find(id);
+      if (over) ctx_.scheduler->on_end_found(id, over->phase, ctx_.now());
+      return over.has_value();
+    });
+    if (asked > 0) ctx_.kick();
+    if (!ids.empty()) {
+      const auto read = ids.size();
+      co_await look_up_run(term, std::move(ids));
+      ctx_.log->info("ends of {} awaited jobs looked up, {} of them in the store, in {} s", asked, read,
+                     to_seconds(ctx_.now() - began));
+      continue;
+    }
+    co_await ctx_.loop.sleep(look_up_every);
+  }
+}
+
 // ---- the leader's writes ----
 
 LeaderStore::Chunk LeaderStore::new_chunk() const {
@@ -296,29 +436,55 @@
   }
 }
 
+// Nothing rests on facts of machines: what does not fit is left out, cached images first.
+wire::json LeaderStore::facts_row(std::vector<MachineFacts> facts) const {
+  for (;;) {
+    auto row = wire::encode_machines(facts);
+    if (row.dump().size() <= ctx_.limits.value_bytes() || facts.empty()) return row;
+    bool images = false;
+    for (auto& m : facts) {
+      images = images || !m.images.empty();
+      m.images.resize(m.images.size() / 2);
+    }
+    if (!images) facts.resize(facts.size() / 2);
+  }
+}
+
 std::vector<wire::StoreOp> LeaderStore::ops_of(const RowWrite& row) {
   std::vector<wire::StoreOp> ops;
   const auto key = wire::key_of(row.key);
   if (row.final_job) {
-    ops.push_back({wire::job_key(row.final_job->id), std::nullopt, std::nullopt});
+    ops.push_back({wire::job_key(row.final_job->id, row.final_job->chained), std::nullopt, std::nullopt});
     ops.push_back({key, wire::encode_final(*row.final_job), std::nullopt});
   } else if (row.tasks) {
     ops.push_back({key, wire::encode_tasks(*row.tasks), std::nullopt});
   } else if (!row.facts.empty()) {
-    ops.push_back({key, wire::encode_machines(row.facts), std::nullopt});
+    ops.push_back({key, facts_row(row.facts), std::nullopt});
   } else if (versions_.contains(key)) {
     ops.push_back({key, std::nullopt, std::nullopt});
   }
   return ops;
 }
 
+// What is really encoded is measured: names may be longer than a row's size was reckoned with.
+bool LeaderStore::fits_value(const RowWrite& row, const std::vector<wire::StoreOp>& ops) {
+  const bool fits = std::ranges::all_of(
+      ops, [&](const wire::StoreOp& op) { return !op.value || op.value->dump().size() <= ctx_.limits.value_bytes(); });
+  if (fits) return true;
+  if (!ctx_.scheduler->divide(row, ctx_.now())) {
+    ctx_.log->error("row {} is too large for the state service and cannot be divided", wire::key_of(row.key));
+  }
+  return false;
+}
+
 std::vector<LeaderStore::Chunk> LeaderStore::chunks_of(std::vector<RowWrite> rows) {
   std::vector<Chunk> chunks;
   for (auto& row : rows) {
     auto ops = ops_of(row);
+    if (!fits_value(row, ops)) continue;
     std::size_t bytes = 0;
     for (const auto& op : ops) bytes += 2 * op.key.size() + 100 + (op.value ? op.value->dump().size() : 0);
-    const bool fits = !chunks.empty() && chunks.back().then.size() + ops.size() <= ctx_.settings.state_txn_ops &&
+    const bool fits = !chunks.empty() && chunks.back().then.size() + ops.size() <= ctx_.limits.txn_ops() &&
                       chunks.back().bytes + bytes <= max_txn_bytes;
     if (!fits) chunks.push_back(new_chunk());
     auto& chunk = chunks.back();
@@ -330,14 +496,19 @@
   return chunks;
 }
 
+// Notes that were taken, and pieces of rows of jobs that are over; what no one reads any more.
 LeaderStore::Chunk LeaderStore::note_removals() {
   Chunk chunk = new_chunk();
-  while (!inbox_done_.empty() && chunk.then.size() < ctx_.settings.state_txn_ops) {
+  const auto most = ctx_.limits.txn_ops();
+  while (!inbox_done_.empty() && chunk.then.size() < most) {
     const auto key = wire::inbox_key(inbox_done_.back());
     inbox_done_.pop_back();
     const bool listed = std::ranges::any_of(chunk.then, [&](const auto& op) { return op.key == key; });
     if (versions_.contains(key) && !listed) append(chunk, {{key, std::nullopt, std::nullopt}});
   }
+  for (; !leftover_pieces_.empty() && chunk.then.size() < most; leftover_pieces_.pop_back()) {
+    chunk.then.push_back({leftover_pieces_.back(), std::nullopt, std::nullopt});
+  }
   return chunk;
 }
 
@@ -373,35 +544,50 @@
   co_return false;
 }
 
-// Tries until the outcome is known. The same conditions hold each time, so at most one try is applied.
-rt::Task<bool> LeaderStore::commit(std::uint64_t term, const Chunk& chunk) {
+// Whether a transaction whose answer was lost was applied after all; if so its versions are taken over.
+rt::Task<bool> LeaderStore::recognise(std::uint64_t term, const Chunk& chunk) {
+  const bool applied = co_await was_applied(chunk);
+  if (ctx_.term != term || !applied) co_return false;
+  const auto written = std::ranges::find_if(chunk.then, [](const auto& op) { return op.value.has_value(); });
+  if (written == chunk.then.end()) {
+    remember(chunk, Revision{0});
+    co_return true;
+  }
+  const ReadResult one = co_await state_.get(written->key, seconds(1));
+  if (ctx_.term != term || one.outcome != ReadOutcome::found) co_return false;
+  remember(chunk, Revision{one.item.version.value()});
+  co_return true;
+}
+
+// Tries until the outcome is known. The same conditions hold each time, so at most one try is applied. One that was
+// called too large is not applied later either, since limits do not rise; but an earlier try may have been.
+rt::Task<LeaderStore::Commit> LeaderStore::commit(std::uint64_t term, const Chunk& chunk) {
   bool doubtful = false;
   while (ctx_.term == term) {
     std::vector<wire::Condition> when = chunk.when;
     std::vector<wire::StoreOp> then = chunk.then;
     const TxnResult r = co_await state_.txn(std::move(when), std::move(then), seconds(1.5), StateClient::Turn::in_line);
-    if (ctx_.term != term) co_return false;
-    if (r.outcome == TxnOutcome::committed) {
-      remember(chunk, r.revision);
-      co_return true;
-    }
-    if (r.outcome == TxnOutcome::unknown) doubtful = true;
-    if (r.outcome == TxnOutcome::conflict || r.outcome == TxnOutcome::no_lease) {
-      const bool applied = doubtful && co_await was_applied(chunk);
-      if (ctx_.term != term || !applied) co_return false;
-      const auto written = std::ranges::find_if(chunk.then, [](const auto& op) { return op.value.has_value(); });
-      if (written == chunk.then.end()) {
-        remember(chunk, Revision{0});
-        co_return true;
+    if (ctx_.term != term) co_return Commit::lost;
+    switch (r.outcome) {
+      case TxnOutcome::committed:
+        remember(chunk, r.revision);
+        co_return Commit::stored;
+      case TxnOutcome::conflict:
+      case TxnOutcome::no_lease:
+      case TxnOutcome::too_large: {
+        const bool applied = doubtful && co_await recognise(term, chunk);
+        if (applied) co_return Commit::stored;
+        co_return r.outcome == TxnOutcome::too_large&& ctx_.term == term ? Commit::too_large : Commit::lost;
       }
-      const ReadResult one = co_await state_.get(written->key, seconds(1));
-      if (ctx_.term != term || one.outcome != ReadOutcome::found) co_return false;
-      remember(chunk, Revision{one.item.version.value()});
-      co_return true;
+      case TxnOutcome::unknown:
+        doubtful = true;
+        break;
+      case TxnOutcome::refused:
+        break;
     }
     co_await ctx_.loop.sleep(seconds(0.1));
   }
-  co_return false;
+  co_return Commit::lost;
 }
 
 void LeaderStore::told(const std::vector<RowWrite>& rows) {
@@ -409,21 +595,32 @@
     if (!row.final_job) continue;
     const auto& f = *row.final_job;
     ctx_.finals.add({f.id, f.phase, f.done, 0});
+    leftover_pieces_.insert(leftover_pieces_.end(), row.pieces.begin(), row.pieces.end());
   }
   ctx_.scheduler->stored(rows, ctx_.now());
   ctx_.flushed.notify();
 }
 
 rt::Task<void> LeaderStore::write_chunk(std::uint64_t term, Chunk chunk) {
-  const bool done = chunk.then.empty() || co_await commit(term, chunk);
+  Commit outcome = Commit::stored;
+  if (!chunk.then.empty()) outcome = co_await commit(term, chunk);
   if (ctx_.term != term) co_return;
   --under_way_;
-  if (done) {
-    told(chunk.rows);
-    ctx_.flush.notify();
-  } else {
-    // Another leader, or a lost picture of the keys: both mean starting over from the store.
-    step_down("a transaction's conditions failed");
+  switch (outcome) {
+    case Commit::stored:
+      told(chunk.rows);
+      ctx_.flush.notify();
+      ctx_.kick();  // the end of one job lets others start
+      break;
+    case Commit::too_large:
+      // Not the end of a leadership: every successor would meet the same limit. The rows are divided again.
+      apply_limits(ctx_);
+      ctx_.scheduler->put_back(chunk.rows, too_large_pause, ctx_.now());
+      break;
+    case Commit::lost:
+      // Another leader, or a lost picture of the keys: both mean starting over from the store.
+      step_down("a transaction's conditions failed");
+      break;
   }
 }
 
@@ -435,13 +632,13 @@
     const bool room = under_way_ < max_under_way;
     std::vector<RowWrite> rows;
     if (room && ctx_.scheduler->has_writes(spare, ctx_.now())) {
-      rows = ctx_.scheduler->take_writes(ctx_.settings.state_txn_ops / 2, spare, ctx_.now());
+      rows = ctx_.scheduler->take_writes(ctx_.limits.txn_ops() / 2, spare, ctx_.now());
     }
     for (auto& chunk : chunks_of(std::move(rows))) {
       ++under_way_;
       rt::spawn(write_chunk(term, std::move(chunk)));
     }
-    if (room && spare && !inbox_done_.empty()) {
+    if (room && spare && !(inbox_done_.empty() && leftover_pieces_.empty())) {
       ++under_way_;
       rt::spawn(write_chunk(term, note_removals()));
     }
@@ -457,7 +654,8 @@
   const Time until = ctx_.now() + longest;
   while (ctx_.leads(term)) {
     auto known = ctx_.finals.find(id);
-    if (known || ctx_.now() >= until) co_return known;
+    const bool whole = known && ctx_.scheduler->cascade_stored(id);
+    if (whole || ctx_.now() >= until) co_return known;
     co_await ctx_.flushed.wait(until);
   }
   co_return std::nullopt;
--- a/src/service/leader_store.hpp
+++ b/src/service/leader_store.hpp
@@ -5,18 +5,22 @@
 #include <vector>
 
 #include "service/context.hpp"
+#include "service/job_rows.hpp"
+#include "service/level_service.hpp"
 #include "service/state_client.hpp"
 
 namespace martenwall::service {
 
 class LeaderStore {
  public:
-  LeaderStore(Context& ctx, StateClient& state) : ctx_(ctx), state_(state) {}
+  LeaderStore(Context& ctx, StateClient& state, JobRows& jobs, LevelService& levels)
+      : ctx_(ctx), state_(state), job_rows_(jobs), levels_(levels) {}
   rt::Task<void> run();
   void step_down(const char* why);
   // A job whose row was read or written under the leadership `term`.
   void adopt(std::uint64_t term, Job job, Stamp version);
-  // Waits until the job's end is stored; nothing where that did not come to pass in time.
+  // Waits until the job's end is stored, and where it is cancelled the ends of all that need it; nothing where that did
+  // not come to pass in time.
   rt::Task<std::optional<JobStatus>> wait_final(JobId id, Duration longest);
 
  private:
@@ -29,7 +33,19 @@
   rt::Task<void> follow();
   rt::Task<bool> acquire();
   rt::Task<bool> load(std::uint64_t term, Duration old_grace);
-  rt::Task<void> load_inbox(std::uint64_t term);
+  struct Rows {
+    std::vector<wire::StoreItem> jobs, machines, spans, legacy, notes;
+    Revision notes_revision;
+  };
+  rt::Task<bool> read_rows(std::uint64_t term, Rows& rows);
+  [[nodiscard]] Scheduler::Setup setup_of(Duration old_grace, Time acquired) const;
+  rt::Task<bool> load_jobs(std::uint64_t term, Scheduler& scheduler, const std::vector<wire::StoreItem>& items);
+  bool load_tasks(Scheduler& scheduler, const Rows& rows);
+  // Ends of awaited jobs that the scheduler knows nothing of.
+  rt::Task<void> look_up(std::uint64_t term);
+  rt::Task<void> look_up_run(std::uint64_t term, std::vector<JobId> ids);
+  rt::Task<void> look_up_one(std::uint64_t term, JobId id);
+  rt::Task<void> find_active(std::uint64_t term, JobId id);
   rt::Task<void> watch_inbox(std::uint64_t term);
   rt::Task<void> take_inbox(std::uint64_t term, JobId id, bool cancel);
   rt::Task<void> renew(std::uint64_t term);
@@ -37,24 +53,31 @@
   rt::Task<void> write_chunk(std::uint64_t term, Chunk chunk);
   std::vector<Chunk> chunks_of(std::vector<RowWrite> rows);
   std::vector<wire::StoreOp> ops_of(const RowWrite& row);
+  [[nodiscard]] wire::json facts_row(std::vector<MachineFacts> facts) const;
+  bool fits_value(const RowWrite& row, const std::vector<wire::StoreOp>& ops);
   Chunk note_removals();
   [[nodiscard]] Chunk new_chunk() const;
   void append(Chunk& chunk, std::vector<wire::StoreOp> ops);
   void sign(Chunk& chunk);
   void told(const std::vector<RowWrite>& rows);
-  rt::Task<bool> commit(std::uint64_t term, const Chunk& chunk);
+  enum class Commit { stored, lost, too_large };
+  rt::Task<Commit> commit(std::uint64_t term, const Chunk& chunk);
+  rt::Task<bool> recognise(std::uint64_t term, const Chunk& chunk);
   rt::Task<bool> was_applied(const Chunk& chunk);
   void remember(const Chunk& chunk, Revision revision);
 
   Context& ctx_;
   StateClient& state_;
+  JobRows& job_rows_;
+  LevelService& levels_;
   LeaseId lease_;
   Time lease_sent_{};
   Duration old_grace_{0};
   std::map<std::string, Stamp> versions_;  // of the keys that this leader writes
   std::vector<JobId> inbox_done_;
-  std::vector<JobId> inbox_cancels_;  // asked for before this leadership
-  std::size_t under_way_ = 0;         // transactions
+  std::vector<std::string> leftover_pieces_;  // of rows of jobs that are over
+  std::vector<JobId> inbox_cancels_;          // asked for before this leadership
+  std::size_t under_way_ = 0;                 // transactions
   Revision inbox_after_;
   std::uint64_t write_serial_ = 0;
 };
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -23,10 +23,12 @@
 Node::Node(rt::Loop& loop, config::Settings settings, Policy policy, std::shared_ptr<spdlog::logger> log)
     : ctx_(loop, std::move(settings), policy, std::move(log)),
       state_(ctx_),
-      store_(ctx_, state_),
+      job_rows_(ctx_, state_),
+      levels_(ctx_, state_),
+      store_(ctx_, state_, job_rows_, levels_),
       workers_(ctx_, store_),
       cloud_(ctx_, state_),
-      users_(ctx_, state_, store_),
+      users_(ctx_, state_, store_, job_rows_),
       peers_(ctx_, [this](wire::PeerRequest r) { return route_peer(std::move(r)); }),
       reach_(ctx_, state_, store_, peers_),
       server_(loop, *rt::Endpoint::parse(ctx_.settings.listen), bounds_of(ctx_.settings),
@@ -39,6 +41,7 @@
   ctx_.loop.on_stall([this](const rt::Loop::Stall& s) {
     ctx_.log->info("this node stood still for {:.1f} s ({})", to_seconds(s.length), name_of(ctx_.leadership.state()));
   });
+  rt::spawn(levels_.run());
   rt::spawn(store_.run());
   rt::spawn(workers_.run());
   rt::spawn(workers_.send_loop());
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -3,7 +3,9 @@
 #include "runtime/http_server.hpp"
 #include "service/cloud_service.hpp"
 #include "service/context.hpp"
+#include "service/job_rows.hpp"
 #include "service/leader_store.hpp"
+#include "service/level_service.hpp"
 #include "service/peer_service.hpp"
 #include "service/reach_service.hpp"
 #include "service/state_client.hpp"
@@ -24,6 +26,8 @@
 
   Context ctx_;
   StateClient state_;
+  JobRows job_rows_;
+  LevelService levels_;
   LeaderStore store_;
   WorkerService workers_;
   CloudService cloud_;
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -18,8 +18,8 @@
 StateClient::StateClient(Context& ctx)
     : ctx_(ctx),
       http_(ctx.loop, 24, max_response, 12),
-      requests_(ctx.settings.state_rps * follower_share),
-      writes_(ctx.settings.state_write_rps * follower_share),
+      requests_(ctx.limits.rps() * follower_share),
+      writes_(ctx.limits.write_rps() * follower_share),
       line_moved_(ctx.loop) {}
 
 double StateClient::share_now() const {
@@ -34,8 +34,8 @@
   const Time until = ctx_.now() + longest;
   for (;;) {
     const double share = share_now();
-    requests_.set(ctx_.settings.state_rps * share);
-    writes_.set(ctx_.settings.state_write_rps * share);
+    requests_.set(ctx_.limits.rps() * share);
+    writes_.set(ctx_.limits.write_rps() * share);
     Duration wait = writes > 0 ? writes_.take(writes, 0, ctx_.now()) : Duration{0};
     if (wait.count() == 0) {
       writes = 0;
@@ -68,6 +68,11 @@
   rt::HttpResult r =
       co_await http_.request(ctx_.settings.state, std::move(method), std::move(target), std::move(body), timeout);
   if (r.outcome == rt::Outcome::answered && r.status != 503) ctx_.state_ok = ctx_.now();
+  if (r.outcome == rt::Outcome::answered && r.status == 429 && ctx_.limits.refused_rate(ctx_.now())) {
+    ctx_.log->info(
+        "the state service refuses requests beyond lower rates: {} requests and {} changes a second from now on",
+        ctx_.limits.rps(), ctx_.limits.write_rps());
+  }
   co_return r;
 }
 
@@ -86,17 +91,21 @@
   co_return out;
 }
 
+rt::Task<std::optional<wire::StorePage>> StateClient::page(std::string prefix, std::string after) {
+  const bool admitted = co_await admit(0, seconds(2));
+  if (!admitted) co_return std::nullopt;
+  std::string target = "/store?prefix=" + prefix + "&page=500";
+  if (!after.empty()) target += "&after=" + after;
+  const rt::HttpResult r = co_await send("GET", std::move(target), "", seconds(2));
+  if (!r.ok()) co_return std::nullopt;
+  co_return wire::parse_page(r.body);
+}
+
 rt::Task<std::optional<wire::StorePage>> StateClient::list(std::string prefix) {
   std::optional<wire::StorePage> all;
   std::string after;
   for (;;) {
-    const bool admitted = co_await admit(0, seconds(2));
-    if (!admitted) co_return std::nullopt;
-    std::string target = "/store?prefix=" + prefix + "&page=500";
-    if (!after.empty()) target += "&after=" + after;
-    const rt::HttpResult r = co_await send("GET", std::move(target), "", seconds(2));
-    if (!r.ok()) co_return std::nullopt;
-    auto page = wire::parse_page(r.body);
+    auto page = co_await this->page(prefix, after);
     if (!page) co_return std::nullopt;
     const bool more = page->more && !page->items.empty();
     if (more) after = page->items.back().key;
@@ -116,13 +125,20 @@
   const bool admitted =
       turn == Turn::in_line ? co_await admit_in_line(writes, timeout) : co_await admit(writes, timeout);
   if (!admitted) co_return out;
-  const rt::HttpResult r = co_await send("POST", "/multi", wire::encode_txn(when, then), timeout);
+  std::string body = wire::encode_txn(when, then);
+  const auto size = body.size();
+  const rt::HttpResult r = co_await send("POST", "/multi", std::move(body), timeout);
   if (r.outcome == rt::Outcome::unknown) out.outcome = TxnOutcome::unknown;
   if (r.outcome != rt::Outcome::answered) co_return out;
   if (r.status == 409) out.outcome = TxnOutcome::conflict;
   if (r.status == 400) {
-    out.outcome = TxnOutcome::no_lease;
-    ctx_.log->error("the state service calls a transaction malformed or its lease ended: {}", r.body);
+    const bool lease = r.body.find("lease") != std::string::npos;
+    out.outcome = lease ? TxnOutcome::no_lease : TxnOutcome::too_large;
+    ctx_.log->info("the state service refuses a transaction of {} changes and {} bytes: {}", writes, size, r.body);
+    if (!lease && ctx_.limits.refused_size()) {
+      ctx_.log->info("its limits are taken to be lower: values of {} bytes, {} changes a transaction, {} a second",
+                     ctx_.limits.value_bytes(), ctx_.limits.txn_ops(), ctx_.limits.write_rps());
+    }
   }
   if (r.status != 200) co_return out;
   out.outcome = TxnOutcome::committed;
@@ -132,7 +148,7 @@
 
 rt::Task<std::optional<std::set<std::string>>> StateClient::existing(std::vector<std::string> keys, Duration timeout) {
   const Time until = ctx_.now() + timeout;
-  const double keep = ctx_.settings.state_rps * share_now() * poll_reserve;
+  const double keep = ctx_.limits.rps() * share_now() * poll_reserve;
   const bool admitted = co_await admit(0, timeout, keep);
   if (!admitted) co_return std::nullopt;
   std::vector<wire::Condition> when;
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -18,7 +18,8 @@
   wire::StoreItem item;
 };
 
-enum class TxnOutcome { committed, conflict, no_lease, refused /* not executed */, unknown };
+// `too_large`: malformed to the state service, which is what it calls values and transactions beyond its limits.
+enum class TxnOutcome { committed, conflict, no_lease, too_large, refused /* not executed */, unknown };
 struct TxnResult {
   TxnOutcome outcome = TxnOutcome::refused;
   Revision revision;
@@ -29,6 +30,7 @@
   explicit StateClient(Context& ctx);
   rt::Task<ReadResult> get(std::string key, Duration timeout);
   rt::Task<std::optional<wire::StorePage>> list(std::string prefix);  // all pages
+  rt::Task<std::optional<wire::StorePage>> page(std::string prefix, std::string after);
   // Users' submissions and the like go before the leader's rows, which wait in line.
   enum class Turn { first, in_line };
   rt::Task<TxnResult> txn(std::vector<wire::Condition> when, std::vector<wire::StoreOp> then, Duration timeout,
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t max_batches = 4;
 constexpr std::size_t max_asked = 2000;
 constexpr std::size_t keys_per_question = 3;
+constexpr std::size_t conditions_per_op = 4;  // of a transaction, by PROTOCOL
 
 }  // namespace
 
@@ -79,13 +80,138 @@
     if (known.known == Known::unsure) co_return later("the state service does not answer");
     co_return rt::HttpResponse{422, wire::encode_error(why), {}, false};
   }
+  const bool chained = !spec.awaits.empty();
+  // A node of the other version would start the job early.
+  if (chained && ctx_.level < wire::this_level) co_return later("not all nodes take jobs that await others yet");
   if (!ctx_.proven() && ctx_.has_other_leader()) {
-    rt::HttpResponse r = co_await forward(wire::PeerVerb::submit, spec.id.value(), std::move(body), forward_limit);
-    if (r.status == 200 || r.status == 201) co_return r;
+    const auto verb = chained ? wire::PeerVerb::submit_chained : wire::PeerVerb::submit;
+    rt::HttpResponse r = co_await forward(verb, spec.id.value(), std::move(body), forward_limit);
+    if (r.status == 200 || r.status == 201 || r.status == 422) co_return r;
   }
+  if (chained) co_return co_await accept_chained(std::move(spec), ctx_.proven());
   co_return co_await accept(std::move(spec), ctx_.proven());
 }
 
+// ---- jobs that await others ----
+
+// Which of the keys exist; as many at a time as a transaction may name.
+rt::Task<std::optional<std::set<std::string>>> UserService::existing(std::vector<std::string> keys) {
+  std::set<std::string> all;
+  const std::size_t at_once = ctx_.limits.txn_ops() * conditions_per_op;
+  for (std::size_t i = 0; i < keys.size(); i += at_once) {
+    const auto first = keys.begin() + static_cast<std::ptrdiff_t>(i);
+    const auto n = std::min(at_once, keys.size() - i);
+    std::vector<std::string> some{first, first + static_cast<std::ptrdiff_t>(n)};
+    auto there = co_await state_.existing(std::move(some), seconds(1));
+    if (!there) co_return std::nullopt;
+    all.merge(*there);
+  }
+  co_return all;
+}
+
+rt::Task<UserService::Awaited> UserService::look_at_awaited(JobSpec spec, bool as_leader) {
+  using Outcome = Awaited::Outcome;
+  const auto add_keys = [](std::vector<std::string>& keys, const JobId& id) {
+    keys.push_back(wire::job_key(id, false));
+    keys.push_back(wire::job_key(id, true));
+    keys.push_back(wire::final_key(id));
+  };
+  Awaited out;
+  std::vector<JobId> asked;
+  std::vector<std::string> keys;
+  add_keys(keys, spec.id);
+  for (const auto& id : spec.awaits) {
+    const auto over = ctx_.finals.find(id);
+    if (over && over->phase == JobPhase::done) continue;
+    const bool known = over || (as_leader && ctx_.scheduler->find_job(id) != nullptr);
+    if (known) {
+      out.open.push_back(id);
+    } else {
+      asked.push_back(id);
+      add_keys(keys, id);
+    }
+  }
+  // The keys of one job stand together, but a transaction may end between them: a job that moves from the first to
+  // the last meanwhile is then found at neither. So what is not there is asked for once more before it counts.
+  const auto there = co_await existing(std::move(keys));
+  if (!there) co_return out;
+  const auto active = [&](const JobId& id) {
+    return there->contains(wire::job_key(id, false)) || there->contains(wire::job_key(id, true));
+  };
+  if (active(spec.id) || there->contains(wire::final_key(spec.id))) {
+    out.outcome = Outcome::job_is_there;
+    co_return out;
+  }
+  for (const auto& id : asked) {
+    if (active(id)) {
+      out.open.push_back(id);
+      continue;
+    }
+    Finding end = co_await read_final(id);
+    if (end.known == Known::unsure) co_return out;
+    if (end.known == Known::no) {
+      const JobRows::Read row = co_await job_rows_.read(id);
+      if (row.outcome == ReadOutcome::absent) end = co_await read_final(id);
+      if (row.outcome == ReadOutcome::failed || end.known == Known::unsure) co_return out;
+      if (row.outcome == ReadOutcome::absent && end.known == Known::no) {
+        out.outcome = Outcome::never_accepted;
+        co_return out;
+      }
+    }
+    if (end.known == Known::no || end.status.phase != JobPhase::done) out.open.push_back(id);
+  }
+  out.outcome = Outcome::known;
+  co_return out;
+}
+
+rt::Task<rt::HttpResponse> UserService::accept_chained(JobSpec spec, bool as_leader) {
+  const JobId id = spec.id;
+  if (as_leader) {
+    const auto known = ctx_.scheduler->status(id);
+    if (known) co_return answer(200, *known);
+  }
+  const auto term = ctx_.term;
+  Awaited awaited = co_await look_at_awaited(spec, as_leader);
+  if (awaited.outcome == Awaited::Outcome::job_is_there) {
+    const Finding known = co_await read_status(id);
+    co_return known.known == Known::yes ? answer(200, known.status) : later("the job's state cannot be read now");
+  }
+  const bool itself = std::ranges::find(spec.awaits, id) != spec.awaits.end();
+  if (itself || awaited.outcome == Awaited::Outcome::never_accepted) {
+    co_return rt::HttpResponse{422, wire::encode_error("awaits a job that was never accepted"), {}, false};
+  }
+  if (awaited.outcome != Awaited::Outcome::known) co_return later("the jobs that it awaits cannot be read now");
+  // What is done stays done: the rest is what it waits for, whoever leads.
+  spec.awaits = std::move(awaited.open);
+  co_return co_await accept(std::move(spec), as_leader && ctx_.leads(term) && ctx_.proven());
+}
+
+// Without a leader's word: a cancellation takes all with it that need the job, and may not have come so far yet.
+rt::Task<bool> UserService::may_call_active(Job job) {
+  constexpr int most_reads = 12;
+  const ReadResult released = co_await state_.get(wire::tasks_key(job.spec.id, 0), seconds(0.5));
+  if (released.outcome != ReadOutcome::absent) co_return released.outcome == ReadOutcome::found;
+  std::vector<JobId> left = job.spec.awaits;
+  std::set<JobId> seen;
+  for (int reads = 0; !left.empty(); reads += 2) {
+    const JobId id = left.back();
+    left.pop_back();
+    if (!seen.insert(id).second) continue;
+    const auto over = ctx_.finals.find(id);
+    if (over && over->phase == JobPhase::done) continue;
+    if (over || reads >= most_reads) co_return false;
+    const JobRows::Read row = co_await job_rows_.read_at(id, true);
+    if (row.outcome == ReadOutcome::failed || (row.outcome == ReadOutcome::found && !row.job)) co_return false;
+    if (row.outcome == ReadOutcome::found) {
+      left.insert(left.end(), row.job->spec.awaits.begin(), row.job->spec.awaits.end());
+      continue;
+    }
+    const Finding end = co_await read_final(id);
+    if (end.known == Known::unsure || (end.known == Known::yes && end.status.phase != JobPhase::done)) co_return false;
+  }
+  co_return true;
+}
+
 rt::Task<rt::HttpResponse> UserService::accept(JobSpec spec, bool as_leader) {
   const auto term = ctx_.term;
   const JobId id = spec.id;
@@ -97,11 +223,8 @@
   job.spec = std::move(spec);
   job.submitted = ctx_.now();
   job.submitted_wall_ms = Context::wall_ms();
-  std::vector<wire::Condition> when{{wire::job_key(id), Stamp{0}}, {wire::final_key(id), Stamp{0}}};
-  std::vector<wire::StoreOp> then;
-  then.push_back({wire::job_key(id), wire::encode_job_row(job), std::nullopt});
-  if (!as_leader) then.push_back({wire::inbox_key(id), wire::encode_note(ctx_.settings.node, false), std::nullopt});
-  const TxnResult r = co_await state_.txn(std::move(when), std::move(then), seconds(1.5));
+  std::string note = as_leader ? "" : ctx_.settings.node;
+  const TxnResult r = co_await job_rows_.store_new(job, std::move(note));
   if (r.outcome == TxnOutcome::committed) {
     if (as_leader) store_.adopt(term, std::move(job), Stamp{r.revision.value()});
     // A leader that lost its office meanwhile has written without an inbox key; its successor
@@ -131,19 +254,31 @@
 rt::Task<UserService::Finding> UserService::read_status(JobId id) {
   const auto term = ctx_.term;
   const Time began = ctx_.loop.refresh();
-  // In this order: a job moves from its first key to the second and never back.
-  const ReadResult active = co_await state_.get(wire::job_key(id), seconds(0.7));
+  // In this order: a job moves from one of its first keys to the last and never back.
+  JobRows::Read active = co_await job_rows_.read(id);
   if (active.outcome == ReadOutcome::failed) co_return Finding{};
   // What was read under an earlier leadership, or before the job's end, may be out of date by now.
   if (const auto known = from_memory(id)) co_return *known;
   if (active.outcome == ReadOutcome::found) {
     if (ctx_.term != term || ctx_.loop.refresh() - began > poll_limit) co_return Finding{};
-    auto job = wire::decode_job_row(active.item.value, ctx_.now(), Context::wall_ms());
-    if (!job) co_return Finding{};
+    if (!active.job) co_return Finding{};
     // Written by this leader while it was busy, or by another node: either way it is to run.
-    if (ctx_.proven()) store_.adopt(term, std::move(*job), active.item.version);
+    const Job job = *active.job;
+    if (ctx_.proven()) {
+      store_.adopt(term, std::move(*active.job), active.version);
+      if (const auto known = from_memory(id)) co_return *known;
+    }
+    if (job.chained) {
+      const bool sure = co_await may_call_active(job);
+      if (const auto known = from_memory(id)) co_return *known;
+      if (!sure || ctx_.term != term || ctx_.loop.refresh() - began > poll_limit) co_return Finding{};
+    }
     co_return Finding{Known::yes, {id, JobPhase::pending, 0, 0}};
   }
+  co_return co_await read_final(id);
+}
+
+rt::Task<UserService::Finding> UserService::read_final(JobId id) {
   const ReadResult ended = co_await state_.get(wire::final_key(id), seconds(0.7));
   if (ended.outcome == ReadOutcome::failed) co_return Finding{};
   if (ended.outcome == ReadOutcome::absent) co_return Finding{Known::no, {}};
@@ -212,7 +347,8 @@
 
 rt::Task<void> UserService::answer_questions(Questions questions) {
   if (!ctx_.proven() && ctx_.has_other_leader()) co_await ask_leader_for(questions);
-  const std::size_t at_once = std::max<std::size_t>(1, ctx_.settings.state_txn_ops * 4 / keys_per_question - 1);
+  const std::size_t at_once =
+      std::max<std::size_t>(1, ctx_.limits.txn_ops() * conditions_per_op / keys_per_question - 1);
   for (std::size_t i = 0; i < questions.size(); i += at_once) {
     const auto first = questions.begin() + static_cast<std::ptrdiff_t>(i);
     const auto n = std::min(at_once, questions.size() - i);
@@ -241,14 +377,19 @@
   questions = std::move(left);
 }
 
-// One transaction that only compares tells which of the jobs are active, placed, or over.
+std::string UserService::tasks_key_of(const JobId& id) const {
+  return ctx_.level >= wire::this_level ? wire::tasks_key(id, 0) : wire::legacy_tasks_key(id, 0);
+}
+
+// One transaction that only compares tells which of the jobs are active, placed, or over. One that awaits others is
+// found by itself: what it awaits must be looked at too.
 rt::Task<void> UserService::ask_store_for(Questions questions) {
   const auto term = ctx_.term;
   std::vector<std::string> keys;
   for (const auto& q : questions) {
     keys.push_back(wire::job_key(q->id));
     keys.push_back(wire::final_key(q->id));
-    keys.push_back(wire::tasks_key(q->id, 0));
+    keys.push_back(tasks_key_of(q->id));
   }
   const auto there = co_await state_.existing(std::move(keys), seconds(0.6));
   for (const auto& q : questions) {
@@ -258,8 +399,11 @@
     } else if (!there || ctx_.term != term) {
       settle(*q, {});
     } else if (there->contains(wire::job_key(q->id)) && !ctx_.proven()) {
-      const bool placed = there->contains(wire::tasks_key(q->id, 0));
+      const bool placed = there->contains(tasks_key_of(q->id));
       settle(*q, {Known::yes, {q->id, placed ? JobPhase::running : JobPhase::pending, 0, 0}});
+    } else if (there->contains(wire::final_key(q->id))) {
+      Finding found = co_await read_final(q->id);
+      settle(*q, std::move(found));
     } else {
       Finding found = co_await read_status(q->id);
       settle(*q, std::move(found));
@@ -286,20 +430,22 @@
 // Where the leader cannot be reached, it is told by way of the store.
 rt::Task<rt::HttpResponse> UserService::cancel_by_note(JobId id) {
   const Time until = ctx_.now() + seconds(3);
-  Finding known = co_await read_status(id);
+  const JobRows::Read row = co_await job_rows_.read(id);
+  Finding known;
+  if (row.outcome == ReadOutcome::absent) known = co_await read_final(id);
   if (known.known == Known::no) co_return no_such_job();
-  if (known.known == Known::yes && !is_final(known.status.phase)) {
+  if (known.known == Known::yes) co_return answer(200, known.status);
+  if (row.outcome == ReadOutcome::found) {
     std::vector<wire::StoreOp> then;
     then.push_back({wire::inbox_key(id), wire::encode_note(ctx_.settings.node, true), std::nullopt});
     const TxnResult r = co_await state_.txn({}, std::move(then), seconds(1));
     if (r.outcome != TxnOutcome::committed) co_return later("no leader can be reached");
   }
-  while (known.known == Known::yes && !is_final(known.status.phase) && ctx_.now() < until) {
+  while (known.known != Known::yes && ctx_.now() < until) {
     co_await ctx_.loop.sleep(seconds(0.4));
-    known = co_await read_status(id);
+    known = co_await read_final(id);
   }
-  const bool over = known.known == Known::yes && is_final(known.status.phase);
-  co_return over ? answer(200, known.status) : later("not stored yet");
+  co_return known.known == Known::yes ? answer(200, known.status) : later("not stored yet");
 }
 
 rt::Task<rt::HttpResponse> UserService::cancel(std::string id) {
@@ -338,7 +484,13 @@
     auto* spec = std::get_if<JobSpec>(&parsed);
     if (spec == nullptr) co_return wire::PeerReply{400, "{}", {}};
     JobSpec wanted = std::move(*spec);
-    r = co_await accept(std::move(wanted), true);
+    const bool chained = !wanted.awaits.empty();
+    if (chained && ctx_.level < wire::this_level) co_return wire::PeerReply{503, "{}", {}};
+    if (chained) {
+      r = co_await accept_chained(std::move(wanted), true);
+    } else {
+      r = co_await accept(std::move(wanted), true);
+    }
   }
   co_return wire::PeerReply{r.status, r.body, {}};
 }
--- a/src/service/user_service.hpp
+++ b/src/service/user_service.hpp
@@ -8,6 +8,7 @@
 
 #include "runtime/http_server.hpp"
 #include "service/context.hpp"
+#include "service/job_rows.hpp"
 #include "service/leader_store.hpp"
 #include "service/peer_service.hpp"
 #include "service/state_client.hpp"
@@ -16,8 +17,8 @@
 
 class UserService {
  public:
-  UserService(Context& ctx, StateClient& state, LeaderStore& store)
-      : ctx_(ctx), state_(state), store_(store), wake_(ctx.loop) {}
+  UserService(Context& ctx, StateClient& state, LeaderStore& store, JobRows& jobs)
+      : ctx_(ctx), state_(state), store_(store), job_rows_(jobs), wake_(ctx.loop) {}
   void set_peers(PeerService& peers) { peers_ = &peers; }
 
   rt::Task<rt::HttpResponse> submit(std::string body);
@@ -45,7 +46,19 @@
 
   [[nodiscard]] Fit can_run(const JobSpec& spec, std::string& why) const;
   rt::Task<rt::HttpResponse> accept(JobSpec spec, bool as_leader);
+  rt::Task<rt::HttpResponse> accept_chained(JobSpec spec, bool as_leader);
+  // What the store and this node know of the jobs that another awaits.
+  struct Awaited {
+    enum class Outcome { known, job_is_there, never_accepted, unsure } outcome = Outcome::unsure;
+    std::vector<JobId> open;  // not known to be done
+  };
+  rt::Task<Awaited> look_at_awaited(JobSpec spec, bool as_leader);
+  rt::Task<std::optional<std::set<std::string>>> existing(std::vector<std::string> keys);
+  rt::Task<Finding> read_final(JobId id);
+  // False unless reads of the store show that nothing the job needs is cancelled.
+  rt::Task<bool> may_call_active(Job job);
   rt::Task<Finding> read_status(JobId id);  // from the store
+  [[nodiscard]] std::string tasks_key_of(const JobId& id) const;
   rt::Task<Finding> find_status(JobId id);
   rt::Task<rt::HttpResponse> cancel_here(JobId id);
   rt::Task<rt::HttpResponse> cancel_by_note(JobId id);
@@ -59,6 +72,7 @@
   Context& ctx_;
   StateClient& state_;
   LeaderStore& store_;
+  JobRows& job_rows_;
   PeerService* peers_ = nullptr;
   Questions asked_;
   std::unordered_map<JobId, std::shared_ptr<Question>> queued_;  // those of them, by job
--- a/src/wire/peer_codec.hpp
+++ b/src/wire/peer_codec.hpp
@@ -8,7 +8,15 @@
 
 namespace martenwall::wire {
 
-enum class PeerVerb : std::uint8_t { submit = 1, cancel = 3, statuses = 4, ping = 5, stranded = 6, cloud = 7 };
+enum class PeerVerb : std::uint8_t {
+  submit = 1,
+  cancel = 3,
+  statuses = 4,
+  ping = 5,
+  stranded = 6,
+  cloud = 7,
+  submit_chained = 8
+};
 
 struct PeerRequest {
   PeerVerb verb = PeerVerb::statuses;
@@ -16,6 +24,8 @@
   std::string body;
   std::vector<std::string> jobs{};  // `statuses`: many questions in one frame
                                     // `stranded`: `job` is the node, `body` the number of workers
+                                    // `submit_chained`: as `submit`, which versions of level 1 would take without
+                                    // what the job awaits; they close the connection instead
                                     // `cloud`: `job` is method and target of a request to be passed on
 };
 
--- a/src/wire/state_codec.cpp
+++ b/src/wire/state_codec.cpp
@@ -78,11 +78,18 @@
   return id ? std::optional{LeaseId{*id}} : std::nullopt;
 }
 
-std::string job_key(const JobId& id) { return "j/" + id.value(); }
+std::string job_key(const JobId& id, bool chained) { return (chained ? "k/" : "j/") + id.value(); }
 std::string final_key(const JobId& id) { return "f/" + id.value(); }
 std::string inbox_key(const JobId& id) { return "i/" + id.value(); }
 std::string machines_key(std::uint32_t group) { return "m/" + std::to_string(group); }
-std::string tasks_key(const JobId& id, std::uint32_t part) { return "p/" + id.value() + "/" + std::to_string(part); }
+std::string tasks_key(const JobId& id, std::uint32_t first) { return "q/" + id.value() + "/" + std::to_string(first); }
+std::string legacy_tasks_key(const JobId& id, std::uint32_t number) {
+  return "p/" + id.value() + "/" + std::to_string(number);
+}
+std::string node_level_key(const std::string& node) { return "v/" + node; }
+std::string piece_key(const JobId& id, const std::string& nonce, std::size_t n) {
+  return "c/" + id.value() + "/" + nonce + "/" + std::to_string(n);
+}
 
 std::string key_of(const RowKey& row) {
   switch (row.kind) {
@@ -90,6 +97,8 @@
       return final_key(JobId{row.id});
     case RowKind::tasks:
       return tasks_key(JobId{row.id}, row.part);
+    case RowKind::legacy_tasks:
+      return legacy_tasks_key(JobId{row.id}, row.part);
     default:
       return machines_key(row.part);
   }
@@ -103,22 +112,71 @@
   return ms ? std::optional{std::chrono::duration_cast<Duration>(std::chrono::milliseconds(*ms))} : std::nullopt;
 }
 
-json encode_job_row(const Job& job) { return {{"spec", encode_job(job.spec)}, {"at", job.submitted_wall_ms}}; }
+// With jobs that it awaits the field has another name: a version that does not know of them would start it early.
+json encode_job_row(const Job& job) {
+  const char* name = job.spec.awaits.empty() ? "spec" : "chained";
+  return {{name, encode_job(job.spec)}, {"at", job.submitted_wall_ms}};
+}
 
 std::optional<Job> decode_job_row(const json& v, Time now, std::int64_t wall_ms) {
   const auto* spec = field(v, "spec");
+  if (spec == nullptr) spec = field(v, "chained");
   if (spec == nullptr) return std::nullopt;
   auto parsed = parse_job(*spec);
   auto* s = std::get_if<JobSpec>(&parsed);
   if (s == nullptr) return std::nullopt;
   Job job;
   job.spec = std::move(*s);
+  job.chained = !job.spec.awaits.empty();
   job.submitted_wall_ms = static_cast<std::int64_t>(number(v, "at").value_or(static_cast<double>(wall_ms)));
   job.submitted =
       now - std::chrono::duration_cast<Duration>(std::chrono::milliseconds(wall_ms - job.submitted_wall_ms));
   return job;
 }
 
+json encode_piece_names(const PieceNames& names) { return {{"pieces", {names.nonce, names.count}}}; }
+
+std::optional<PieceNames> decode_piece_names(const json& v) {
+  constexpr std::uint64_t most = 100'000;
+  const auto& names = list(v, "pieces");
+  if (names.size() != 2 || !names[0].is_string() || !names[1].is_number_unsigned()) return std::nullopt;
+  if (names[1].get<std::uint64_t>() > most) return std::nullopt;
+  return PieceNames{names[0].get<std::string>(), names[1].get<std::size_t>()};
+}
+
+// Cut as text: a name or list may be longer than any value. What JSON adds to a text's length is measured; names have
+// no bytes of more than one unit, or the encoder below would have replaced them.
+std::vector<json> encode_pieces(const json& row, std::size_t most_bytes) {
+  const std::string text = row.dump(-1, ' ', true, json::error_handler_t::replace);
+  std::vector<json> out;
+  for (std::size_t at = 0; at < text.size();) {
+    std::size_t n = std::min(text.size() - at, most_bytes);
+    while (n > 1 && json(text.substr(at, n)).dump().size() + 16 > most_bytes) n -= std::max<std::size_t>(1, n / 16);
+    out.push_back({{"text", text.substr(at, n)}});
+    at += n;
+  }
+  return out;
+}
+
+json join_pieces(const std::vector<json>& pieces) {
+  std::string all;
+  for (const auto& p : pieces) {
+    const auto t = text(p, "text");
+    if (!t) return {};
+    all += *t;
+  }
+  return parse(all);
+}
+
+json encode_level(const LevelRow& row) { return {{"level", row.level}, {"legacy_size", row.legacy_size}}; }
+std::optional<LevelRow> decode_level(const json& v) {
+  const auto level = count(v, "level");
+  const auto size = count(v, "legacy_size");
+  if (!level || !size || *size == 0 || *size > 100'000) return std::nullopt;
+  return LevelRow{*level, static_cast<std::uint32_t>(*size)};
+}
+json encode_node_level(const std::string& version) { return {{"level", this_level}, {"version", version}}; }
+
 json encode_final(const FinalJob& job) {
   return {{"phase", job.phase == JobPhase::done ? "done" : "cancelled"}, {"tasks", job.tasks}, {"done", job.done}};
 }
@@ -147,10 +205,14 @@
            {"done", row.done},
            {"on", std::move(held)}};
   if (row.failed > 0) out["failed"] = row.failed;
+  if (!row.legacy) out["n"] = row.size;
   return out;
 }
 
-std::optional<TaskRow> decode_tasks(const std::string& key, const json& v) {
+namespace {
+
+// Its key ends in a number, whose meaning is the caller's.
+std::optional<std::pair<TaskRow, std::uint32_t>> decode_numbered(const std::string& key, const json& v) {
   constexpr std::size_t prefix = 2;
   const auto slash = key.rfind('/');
   if (key.size() <= prefix || slash == std::string::npos || slash < prefix) return std::nullopt;
@@ -160,7 +222,6 @@
   if (!part || !next || need.size() != 3) return std::nullopt;
   TaskRow row;
   row.job = part->job;
-  row.part = part->index;
   row.team = text(v, "team").value_or("");
   row.rank = static_cast<Rank>(count(v, "rank").value_or(1) & 3U);
   row.next_attempt = *next;
@@ -184,7 +245,28 @@
                           MachineId{t[2].get<std::string>()}, z[0].get<std::string>()});
     }
   }
-  return row;
+  return std::pair{std::move(row), part->index};
+}
+
+}  // namespace
+
+std::optional<TaskRow> decode_tasks(const std::string& key, const json& v) {
+  auto read = decode_numbered(key, v);
+  const auto size = count(v, "n");
+  constexpr std::uint64_t most = 1'000'000;
+  if (!read || !size || *size == 0 || *size > most) return std::nullopt;
+  read->first.first = read->second;
+  read->first.size = static_cast<std::uint32_t>(*size);
+  return std::move(read->first);
+}
+
+std::optional<TaskRow> decode_legacy_tasks(const std::string& key, const json& v, std::uint32_t legacy_size) {
+  auto read = decode_numbered(key, v);
+  if (!read) return std::nullopt;
+  read->first.legacy = true;
+  read->first.first = read->second * legacy_size;
+  read->first.size = legacy_size;
+  return std::move(read->first);
 }
 
 // Names of images stand once in a row: machines of a fleet hold the same few.
--- a/src/wire/state_codec.hpp
+++ b/src/wire/state_codec.hpp
@@ -1,8 +1,12 @@
 // The state service's protocol and the rows that the service keeps there.
 //   j/<job>         an unfinished job, as submitted     f/<job>  a finished or cancelled one, kept for good
-//   p/<job>/<part>  its tasks: done, or maybe on a machine    m/<n>  what is worth knowing of some machines
+//   k/<job>         the same of a job that awaits others, with their names
+//   c/<job>/<n>/<k> further pieces of a job's own row that is too long for one value
+//   q/<job>/<first> some of its tasks: done, or maybe on a machine    m/<n>  what is worth knowing of some machines
+//   p/<job>/<part>  the same, as versions of level 1 write it: by number, of a size that follows from the settings
 //   i/<job>         accepted, or asked to be cancelled, at a node other than the leader
 //   lead     the leader, under a lease          reign    the last leader's grace
+//   v/<node> the level of the version that it runs          level    what all nodes have reached (docs/upgrade.md)
 #pragma once
 #include <optional>
 #include <string>
@@ -42,11 +46,15 @@
 std::string encode_lease(Duration ttl);
 std::optional<LeaseId> parse_lease(const std::string& body);
 
-std::string job_key(const JobId& id);
+std::string job_key(const JobId& id, bool chained = false);
 std::string final_key(const JobId& id);
 std::string inbox_key(const JobId& id);
 std::string machines_key(std::uint32_t group);
-std::string tasks_key(const JobId& id, std::uint32_t part);
+std::string tasks_key(const JobId& id, std::uint32_t first);
+std::string legacy_tasks_key(const JobId& id, std::uint32_t number);
+std::string node_level_key(const std::string& node);
+std::string piece_key(const JobId& id, const std::string& nonce, std::size_t n);
+constexpr const char* level_key = "level";
 std::string key_of(const RowKey& row);
 constexpr const char* leader_key = "lead";
 constexpr const char* reign_key = "reign";
@@ -63,10 +71,31 @@
 // `now` and `wall_ms` are the same moment on both clocks: the store keeps times of day.
 json encode_job_row(const Job& job);
 std::optional<Job> decode_job_row(const json& value, Time now, std::int64_t wall_ms);
+// A row that is too long for one value: what stands at its key names the pieces, which stand at keys of their own.
+// Neither has a field `spec`, so that a version of level 1 leaves such a row alone.
+struct PieceNames {
+  std::string nonce;
+  std::size_t count = 0;
+};
+json encode_piece_names(const PieceNames& names);
+std::optional<PieceNames> decode_piece_names(const json& value);
+std::vector<json> encode_pieces(const json& row, std::size_t most_bytes);
+json join_pieces(const std::vector<json>& pieces);  // null where they do not make a row
+
+// What a node's version reads and writes, and what all nodes are known to. It never falls.
+constexpr std::uint64_t this_level = 2;
+struct LevelRow {
+  std::uint64_t level = 1;
+  std::uint32_t legacy_size = 0;  // indices in a row by number, as long as there may be any
+};
+json encode_level(const LevelRow& row);
+std::optional<LevelRow> decode_level(const json& value);
+json encode_node_level(const std::string& version);
 json encode_final(const FinalJob& job);
 std::optional<FinalJob> decode_final(const JobId& id, const json& value);
 json encode_tasks(const TaskRow& row);
 std::optional<TaskRow> decode_tasks(const std::string& key, const json& value);
+std::optional<TaskRow> decode_legacy_tasks(const std::string& key, const json& value, std::uint32_t legacy_size);
 json encode_machines(const std::vector<MachineFacts>& facts);
 std::vector<MachineFacts> decode_machines(const std::string& key, const json& value);  // what can be read of it
 json encode_note(const std::string& node, bool cancel);
--- a/src/wire/user_codec.cpp
+++ b/src/wire/user_codec.cpp
@@ -56,6 +56,22 @@
   return out;
 }
 
+// Null and an empty list mean that it awaits none; the same id twice counts once.
+std::vector<JobId> awaits_of(const json& o) {
+  const auto* f = field(o, "awaits");
+  if (f == nullptr) return {};
+  if (!f->is_array()) throw Bad{"awaits"};
+  std::vector<JobId> out;
+  for (const auto& id : *f) {
+    if (!id.is_string() || !valid_job_id(id.get_ref<const std::string&>())) throw Bad{"awaits"};
+    out.emplace_back(id.get<std::string>());
+  }
+  std::ranges::sort(out);
+  const auto rest = std::ranges::unique(out);
+  out.erase(rest.begin(), rest.end());
+  return out;
+}
+
 JobSpec read_job(const json& o) {
   JobSpec s;
   s.id = JobId{need_text(o, "ref")};
@@ -82,6 +98,7 @@
   s.checkpoint_s = need_amount(o, "markEveryS");
   s.save_s = need_amount(o, "markCostS");
   if (field(o, "dueS") != nullptr) s.deadline_s = need_amount(o, "dueS");
+  s.awaits = awaits_of(o);
   return s;
 }
 
@@ -128,6 +145,7 @@
   if (s.types) o["breeds"] = *s.types;
   if (s.zone) o["yard"] = *s.zone;
   if (s.deadline_s) o["dueS"] = *s.deadline_s;
+  for (const auto& id : s.awaits) o["awaits"].push_back(id.value());
   return o;
 }
 
--- a/tests/blame_test.cpp
+++ b/tests/blame_test.cpp
@@ -143,6 +143,7 @@
   f.s.load_job(j, f.now);
   TaskRow row;
   row.job = JobId{"job-1"};
+  row.size = 10;
   row.team = "red";
   row.need = {1, 1, 1};
   row.failed = 3;
--- /dev/null
+++ b/tests/chains_test.cpp
@@ -0,0 +1,220 @@
+// Jobs that await others: too early, forgotten, or left behind by a cancellation must not happen.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "core/scheduler.hpp"
+
+namespace martenwall {
+namespace {
+
+struct Chain {
+  Time now{seconds(1000)};
+  std::vector<std::string> lines;
+  Scheduler s;
+  std::map<JobId, JobPhase> ends;  // in the store
+
+  Chain() : s(setup(), [this](const std::string& line) { lines.push_back(line); }) {
+    s.set_types({{"g", {8, 4, 64}, 50, 1, 10, 3, 40, {"a"}}});
+  }
+  static Scheduler::Setup setup() {
+    Scheduler::Setup u;
+    u.terms = {3, 19, 50, 4, 39};
+    u.teams = {{"red", {0, 4, 0}, {0, 40, 0}}};
+    u.token = Token{50};
+    return u;
+  }
+  Job job(int n, const std::vector<int>& awaits, double gpus = 1) const {
+    Job j;
+    j.spec.id = id(n);
+    j.spec.team = "red";
+    j.spec.lane = "x";
+    j.spec.need = {1, gpus, 1};
+    j.spec.image = "img";
+    for (const int a : awaits) j.spec.awaits.push_back(id(a));
+    j.chained = !awaits.empty();
+    j.submitted = now;
+    return j;
+  }
+  static JobId id(int n) { return JobId{"job-" + std::to_string(n)}; }
+  void add(int n, const std::vector<int>& awaits, double gpus = 1) { s.add_job(job(n, awaits, gpus), now); }
+  JobPhase phase(int n) const {
+    const auto* j = s.find_job(id(n));
+    return j == nullptr ? ends.at(id(n)) : j->phase;
+  }
+  std::vector<RowWrite> take() { return s.take_writes(100, true, now + seconds(10)); }
+  void store(const std::vector<RowWrite>& rows) {
+    for (const auto& w : rows) {
+      if (w.final_job) ends[w.final_job->id] = w.final_job->phase;
+    }
+    s.stored(rows, now);
+  }
+  void store_all() {
+    for (auto rows = take(); !rows.empty(); rows = take()) store(rows);
+  }
+  void report(std::vector<TaskReport> tasks) {
+    WorkerReport r;
+    r.machine = MachineId{"i-1"};
+    r.addr = std::string{"10.0.0.9:1"};
+    r.type = std::string{"g"};
+    r.zone = std::string{"a"};
+    r.session = Session{1};
+    r.tick = Tick{++tick_};
+    r.token = Token{50};
+    r.tasks = std::move(tasks);
+    s.on_report(r, ReportSource::beat, now, true);
+    s.answered(r.machine, now);
+  }
+  void finish(int n) { report({{TaskId{id(n), 0}, Attempt{1}, TaskState::ended, ExitCause::done, false}}); }
+  // The job's task is placed, started and done; its end is not stored yet.
+  void run(int n) {
+    report({});
+    s.round(now);
+    store_all();
+    finish(n);
+  }
+
+ private:
+  std::uint64_t tick_ = 0;
+};
+
+TEST(chains, a_job_starts_only_after_the_end_of_those_it_awaits_is_stored) {
+  Chain c;
+  c.add(1, {});
+  c.add(2, {1});
+  EXPECT_EQ(JobPhase::waiting, c.phase(2));
+  EXPECT_EQ(JobPhase::pending, c.s.status(Chain::id(2))->phase);
+  c.run(1);
+  EXPECT_EQ(JobPhase::done, c.phase(1));
+  c.s.round(c.now);
+  EXPECT_EQ(JobPhase::waiting, c.phase(2)) << "in memory only: a successor would not know";
+  EXPECT_TRUE(c.s.find_job(Chain::id(2))->placed.empty());
+  c.store_all();
+  EXPECT_EQ(JobPhase::pending, c.phase(2));
+  c.s.round(c.now);
+  EXPECT_EQ(1U, c.s.find_job(Chain::id(2))->placed.size());
+}
+
+TEST(chains, a_waiting_job_has_no_part_in_its_teams_guarantee) {
+  Chain c;
+  c.add(1, {});
+  c.add(2, {1}, 4);  // with it, nothing after it would fit into the guarantee of 4
+  c.add(3, {});
+  c.report({});
+  c.s.round(c.now);
+  EXPECT_EQ(1U, c.s.find_job(Chain::id(3))->placed.size());
+  EXPECT_EQ(2.0, c.s.ledger().used("red").gpus);
+  EXPECT_EQ(2U, c.s.last_round().rows);
+}
+
+TEST(chains, a_cancellation_takes_all_that_need_the_job_once_it_is_stored) {
+  Chain c;
+  c.add(1, {});
+  c.add(2, {1});
+  c.add(3, {2});
+  c.add(4, {1, 3});
+  c.add(5, {});
+  ASSERT_TRUE(c.s.cancel(Chain::id(1), c.now));
+  // Stored before the root's, their ends would stand without a reason if this leader ended now.
+  const auto first = c.take();
+  ASSERT_EQ(1U, first.size());
+  EXPECT_EQ(Chain::id(1), first[0].final_job->id);
+  EXPECT_EQ(JobPhase::waiting, c.phase(2));
+  c.store(first);
+  EXPECT_FALSE(c.s.cascade_stored(Chain::id(1)));
+  EXPECT_FALSE(c.s.status(Chain::id(3))) << "its end is not stored yet, but it must not be called active either";
+  c.store_all();
+  EXPECT_TRUE(c.s.cascade_stored(Chain::id(1)));
+  for (const int n : {1, 2, 3, 4}) EXPECT_EQ(JobPhase::cancelled, c.ends.at(Chain::id(n)));
+  EXPECT_FALSE(c.ends.contains(Chain::id(5)));
+}
+
+TEST(chains, a_cancellation_that_lost_to_done_leaves_the_rest_alone) {
+  Chain c;
+  c.add(1, {});
+  c.add(2, {1});
+  c.run(1);
+  c.s.cancel(Chain::id(1), c.now);
+  c.store_all();
+  EXPECT_EQ(JobPhase::done, c.ends.at(Chain::id(1)));
+  EXPECT_EQ(JobPhase::pending, c.phase(2));
+}
+
+TEST(chains, what_is_not_known_here_is_looked_up_and_waited_for) {
+  Chain c;
+  c.add(3, {1, 2});
+  EXPECT_EQ((std::vector{Chain::id(1), Chain::id(2)}), c.s.take_lookups());
+  EXPECT_TRUE(c.s.take_lookups().empty());
+  EXPECT_FALSE(c.s.status(Chain::id(3))) << "one of them may be cancelled";
+  c.s.on_end_found(Chain::id(1), JobPhase::done, c.now);
+  c.s.ask_again(Chain::id(2));
+  EXPECT_EQ(std::vector{Chain::id(2)}, c.s.take_lookups());
+  EXPECT_EQ(JobPhase::waiting, c.phase(3));
+  c.s.on_end_found(Chain::id(2), JobPhase::done, c.now);
+  EXPECT_EQ(JobPhase::pending, c.phase(3));
+}
+
+TEST(chains, a_job_that_names_a_cancelled_one_is_cancelled_at_once) {
+  Chain c;
+  c.add(2, {1});
+  c.add(3, {2});
+  (void)c.s.take_lookups();
+  c.s.on_end_found(Chain::id(1), JobPhase::cancelled, c.now);
+  c.store_all();
+  EXPECT_EQ(JobPhase::cancelled, c.ends.at(Chain::id(2)));
+  EXPECT_EQ(JobPhase::cancelled, c.ends.at(Chain::id(3)));
+}
+
+// A graph of jobs, some cancelled; the leader ends after any number of writes. Its successor, from what is stored,
+// comes to the same: a job is cancelled if and only if it needs one that a user cancelled.
+RC_GTEST_PROP(chains, a_successor_finishes_a_cascade, (const std::vector<std::vector<std::uint8_t>>& graph)) {
+  Chain c;
+  std::vector<std::vector<int>> awaits;
+  for (const auto& names : graph) {
+    const int n = static_cast<int>(awaits.size());
+    awaits.emplace_back();
+    for (const auto name : names) {
+      if (n > 0) awaits.back().push_back(name % n);
+    }
+    std::ranges::sort(awaits.back());
+    const auto rest = std::ranges::unique(awaits.back());
+    awaits.back().erase(rest.begin(), rest.end());
+    c.add(n, awaits.back());
+  }
+  const int count = static_cast<int>(awaits.size());
+  RC_PRE(count > 0);
+  std::set<int> gone;
+  for (const int n : *rc::gen::container<std::vector<int>>(2, rc::gen::inRange(0, count))) {
+    if (!c.s.cancel(Chain::id(n), c.now)) continue;
+    gone.insert(n);
+  }
+  const auto writes = *rc::gen::inRange(0, 6);
+  for (int i = 0; i < writes; ++i) {
+    const auto some = c.s.take_writes(1, true, c.now);
+    c.store(some);
+  }
+  std::set<int> expected;
+  for (int n = 0; n < count; ++n) {
+    const bool told = gone.contains(n) && c.ends.contains(Chain::id(n));
+    const bool needs =
+        std::ranges::any_of(awaits[static_cast<std::size_t>(n)], [&](int a) { return expected.contains(a); });
+    if (told || needs) expected.insert(n);
+  }
+  Chain next;
+  next.ends = c.ends;
+  for (int n = 0; n < count; ++n) {
+    if (!c.ends.contains(Chain::id(n))) next.s.load_job(next.job(n, awaits[static_cast<std::size_t>(n)]), next.now);
+  }
+  next.s.finish_load(next.now);
+  for (int i = 0; i < 3; ++i) {
+    for (const auto& id : next.s.take_lookups()) next.s.on_end_found(id, next.ends.at(id), next.now);
+    next.store_all();
+  }
+  for (int n = 0; n < count; ++n) {
+    const auto end = next.ends.find(Chain::id(n));
+    RC_ASSERT((end != next.ends.end()) == expected.contains(n));
+    if (end != next.ends.end()) RC_ASSERT(end->second == JobPhase::cancelled);
+  }
+}
+
+}  // namespace
+}  // namespace martenwall
