--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -40,11 +40,11 @@
 }
 
 double f1_of(const Board& board, const Row& row) {
-  const auto& spec = row.job->spec;
-  if (!spec.deadline_s) return board.policy.deadline_min;
+  const auto& job = *row.job;
+  if (!job.due) return board.policy.deadline_min;
   // Measured from the submission; the benchmark ratio is 1, so Nxtime is the same on every machine.
-  const double extime = to_seconds(board.now - row.job->submitted) + row.estimate_s;
-  return deadline_curve(board.policy, extime, *spec.deadline_s, row.estimate_s);
+  const double extime = to_seconds(board.now - job.submitted) + row.estimate_s;
+  return deadline_curve(board.policy, extime, to_seconds(*job.due - job.submitted), row.estimate_s);
 }
 
 }  // namespace
@@ -59,7 +59,7 @@
     bool type_fits = false;
     for (std::size_t c = 0; c < board.columns.size(); ++c) {
       const auto& col = board.columns[c];
-      if (job.spec.rank < col.held_for || !job.spec.need.fits_in(col.free)) continue;
+      if (job.rank < col.held_for || !job.spec.need.fits_in(col.free)) continue;
       if (std::exchange(type, col.type) != col.type) type_fits = type_allows(job.spec, *col.type);
       if (!type_fits || !place_allows(job.spec, col.machine->zone, col.machine->spot)) continue;
       if (board.rows[r].spot_only && !col.machine->spot) continue;
@@ -116,8 +116,7 @@
 }
 
 void rank(const Board& board, Matrix& m) {
-  add_per_row(board, m,
-              [&](const Row& row) { return board.policy.rank_weight * static_cast<double>(row.job->spec.rank); });
+  add_per_row(board, m, [&](const Row& row) { return board.policy.rank_weight * static_cast<double>(row.job->rank); });
 }
 
 void guarantee(const Board& board, Matrix& m) {
@@ -187,7 +186,7 @@
   for (const auto& col : board.columns) room.push_back(col.free);
   for (const auto& row : board.rows) {
     const auto& spec = row.job->spec;
-    if (spec.shape != Shape::gang || spec.rank == Rank::best_effort || row.job->suspect) continue;
+    if (spec.shape != Shape::gang || row.job->rank == Rank::best_effort || row.job->suspect) continue;
     if (used.room_for(spec.team, spec.need) < spec.tasks) continue;
     used.add(spec.team, spec.need, spec.tasks);
     const auto by_zone = gatherable(board, row, room);
@@ -197,7 +196,7 @@
     for (std::size_t i = 0; i < most->second.size() && i < spec.tasks; ++i) {
       const auto c = most->second[i];
       room[c].add(spec.need, -1);
-      board.columns[c].held_for = std::max(board.columns[c].held_for, spec.rank);
+      board.columns[c].held_for = std::max(board.columns[c].held_for, row.job->rank);
     }
   }
 }
--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -26,6 +26,12 @@
   return names.at(static_cast<std::size_t>(p));
 }
 
+void Job::set_own_urgency() {
+  rank = spec.rank;
+  due.reset();
+  if (spec.deadline_s) due = submitted + seconds(*spec.deadline_s);
+}
+
 bool Job::enter(JobPhase next) {
   if (is_final(phase)) return next == phase;
   phase = next;
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -164,10 +164,12 @@
   Time submitted{};
   std::int64_t submitted_wall_ms = 0;
   JobPhase phase = JobPhase::pending;
+  Rank rank = Rank::normal;  // its own, or a higher one of a job that needs it
   std::uint64_t next_attempt = 1;
   DoneSet done;
   bool final_stored = false;  // its end is in the store and may be told
   bool ghost = false;         // its end was stored by an earlier leader; only its last tasks are looked after
+  bool chained = false;       // its own row stands where level 1 does not look
   ImageId image;
   // What is known of each row of its tasks in the store; a row tells of a run of task indices.
   struct Part {
@@ -178,8 +180,8 @@
   using Parts = std::map<std::uint32_t, Part>;  // by the first index; no two overlap
   Parts spans;                                  // rows that name their runs themselves
   Parts legacy;                                 // rows by number, which versions of level 1 read and write
-  bool chained = false;                         // its own row stands where level 1 does not look
   std::vector<std::string> pieces;              // further keys that its own row is spread over
+  std::optional<Time> due;                      // the latest end that lets it and all that need it meet their deadlines
   Time released{};                              // when the last job that it awaits was done
   std::set<JobId> open;                         // of those that it awaits, the ones not known to be done
   // In memory only:
@@ -192,13 +194,14 @@
   int failed_waves = 0;             // times that it failed, all tasks of one moment together, since the last result
   std::set<MachineId> failed_on;    // and nothing was done since
   std::uint32_t failed_before = 0;  // machines that it failed on under earlier leaders
+  std::uint32_t running = 0;        // tasks reported as running
   bool suspect = false;             // fails wherever it goes: most likely it was submitted with a mistake
-  Time waiting_since{};
   bool limit_logged = false;
+  Time waiting_since{};
   Time preempt_after{};
   std::optional<Time> room_at;  // when machines that are on their way will have room for all of it
-  std::uint32_t running = 0;    // tasks reported as running
 
+  void set_own_urgency();  // as its user stated it
   // The one function that changes the phase; an end is for good.
   bool enter(JobPhase next);
   [[nodiscard]] std::uint32_t pending_tasks() const;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -9,7 +9,8 @@
 bool may_evict(const Row& row, const Victim& victim) {
   const auto& spec = row.job->spec;
   const auto& p = *victim.placement;
-  if (p.rank != spec.rank) return p.rank < spec.rank && !p.stray && p.task.job != spec.id;
+  const auto rank = row.job->rank;
+  if (p.rank != rank) return p.rank < rank && !p.stray && p.task.job != spec.id;
   return row.within_guarantee && victim.team_over && !victim.guaranteed && !p.stray && p.team != spec.team;
 }
 
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -24,7 +24,7 @@
 
 bool before(const Row& a, const Row& b) {
   if (a.job->suspect != b.job->suspect) return b.job->suspect;
-  if (a.job->spec.rank != b.job->spec.rank) return a.job->spec.rank > b.job->spec.rank;
+  if (a.job->rank != b.job->rank) return a.job->rank > b.job->rank;
   if (a.within_guarantee != b.within_guarantee) return a.within_guarantee;
   return a.job->released < b.job->released;
 }
@@ -147,7 +147,7 @@
     Placement p{TaskId{job.spec.id, *index}, Attempt{job.next_attempt - 1}, Generation{0}, now};
     p.team = job.spec.team;
     p.need = job.spec.need;
-    p.rank = job.spec.rank;
+    p.rank = job.rank;
     const bool cached = m.has_image(job.image);
     log_("task " + to_string(p.task) + " attempt " + std::to_string(p.attempt.value()) + " placed on " + m.id.value() +
          (cached ? " (image there)" : " (image to fetch)") + ", " +
@@ -242,7 +242,7 @@
     const auto& spec = row.job->spec;
     if (budget == 0 || tries == 0) return;
     // The lowest rank has nothing below it; only a guarantee lets it stop others.
-    if (row.count == 0 || (spec.rank == Rank::best_effort && !row.within_guarantee)) continue;
+    if (row.count == 0 || (row.job->rank == Rank::best_effort && !row.within_guarantee)) continue;
     if (row.job->suspect) continue;  // it takes what is free
     if (now < row.job->preempt_after || evicted_for_.contains(spec.id) || better_to_wait(row, now)) continue;
     const auto room = used_.room_for(spec.team, spec.need);
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -58,6 +58,7 @@
   if (jobs_.contains(job.spec.id) || over_.contains(job.spec.id)) return;
   job.waiting_since = now;
   job.released = job.spec.awaits.empty() ? job.submitted : now;
+  job.set_own_urgency();
   job.image = image_id(job.spec.image);
   stale_ = true;
   if (last_submission_ != Time{} && now > last_submission_) {
@@ -106,6 +107,7 @@
   if (phase == JobPhase::cancelled && job.failures > 0) clear_machines_of(job, now);
   job.enter(phase);
   forget_awaited(job);
+  if (phase == JobPhase::cancelled) review_urgency(job);
   over_[job.spec.id] = now;
   job.returned.clear();
   job.next_fresh = job.spec.tasks;
@@ -249,7 +251,7 @@
   if (job != nullptr) {
     p.team = job->spec.team;
     p.need = job->spec.need;
-    p.rank = job->spec.rank;
+    p.rank = job->rank;
   }
   p.enter(t.state, now);
   if (t.state == TaskState::ended) {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -137,6 +137,10 @@
   void release(Job& job, Time now);
   void cascade(const JobId& root, const std::set<JobId>& by, Time now);
   void forget_awaited(const Job& job);
+  [[nodiscard]] double path_s(const Job& job) const;
+  bool take_urgency(Job& job, const Job& by) const;
+  void pass_urgency_up(const Job& job);
+  void review_urgency(const Job& gone);
   void cascaded_end_stored(const JobId& id);
   [[nodiscard]] bool is_stored(const Placement& p) const;
   [[nodiscard]] std::optional<TaskRow> task_row(const Job& job, std::uint32_t first, std::uint32_t size) const;
--- a/src/core/scheduler_chains.cpp
+++ b/src/core/scheduler_chains.cpp
@@ -39,6 +39,7 @@
     return;
   }
   job.enter(JobPhase::waiting);
+  pass_urgency_up(job);
   log_("job " + id.value() + " waits for " + named(job.open));
   if (cancelled) on_end(*cancelled, JobPhase::cancelled, now);
 }
@@ -125,4 +126,62 @@
   }
 }
 
+// ---- only the last job of a pipeline has the deadline and the rank that its user cares about ----
+
+// From its start to the moment when those that await it can start, if nothing stands in its way.
+double Scheduler::path_s(const Job& job) const {
+  constexpr double handover_s = 2;  // reports, the store and a round, twice
+  double fetch_s = 0;
+  for (const auto& type : types_) {
+    if (type_allows(job.spec, type) && type.fetch_gb_per_s > 0) fetch_s = job.spec.image_gb / type.fetch_gb_per_s;
+  }
+  return estimate_of(job) + fetch_s + handover_s;
+}
+
+// True where that made the job more urgent.
+bool Scheduler::take_urgency(Job& job, const Job& by) const {
+  const auto rank = std::max(job.rank, by.rank);
+  auto due = job.due;
+  if (by.due) {
+    const Time latest = *by.due - seconds(path_s(by));
+    due = due ? std::min(*due, latest) : latest;
+  }
+  if (rank == job.rank && due == job.due) return false;
+  job.rank = rank;
+  job.due = due;
+  return true;
+}
+
+void Scheduler::pass_urgency_up(const Job& job) {
+  std::deque<const Job*> next{&job};
+  for (; !next.empty(); next.pop_front()) {
+    for (const auto& id : next.front()->open) {
+      const auto it = jobs_.find(id);
+      if (it == jobs_.end() || is_final(it->second.phase) || !take_urgency(it->second, *next.front())) continue;
+      stale_ = true;
+      next.push_back(&it->second);
+    }
+  }
+}
+
+// A job that needed these is cancelled: what they had of its urgency goes, and so on up the chain.
+void Scheduler::review_urgency(const Job& gone) {
+  std::deque<const Job*> next{&gone};
+  for (; !next.empty(); next.pop_front()) {
+    for (const auto& id : next.front()->open) {
+      const auto it = jobs_.find(id);
+      if (it == jobs_.end() || is_final(it->second.phase)) continue;
+      Job& job = it->second;
+      const auto before = std::pair{job.rank, job.due};
+      job.set_own_urgency();
+      if (const auto by = awaited_.find(id); by != awaited_.end()) {
+        for (const auto& waiter : by->second) {
+          if (const auto* other = find_job(waiter)) take_urgency(job, *other);
+        }
+      }
+      if (before != std::pair{job.rank, job.due}) next.push_back(&job);
+    }
+  }
+}
+
 }  // namespace martenwall
--- a/src/core/scheduler_store.cpp
+++ b/src/core/scheduler_store.cpp
@@ -18,6 +18,7 @@
   job.waiting_since = std::min(now, job.submitted);
   // When an earlier leader saw the last of those that it awaits done is not stored: its times count from now.
   job.released = job.spec.awaits.empty() ? job.submitted : now;
+  job.set_own_urgency();
   job.image = image_id(job.spec.image);
   last_submission_ = std::max(last_submission_, job.waiting_since);
   auto id = job.spec.id;
@@ -74,7 +75,7 @@
     job.spec.id = row.job;
     job.spec.team = row.team;
     job.spec.need = row.need;
-    job.spec.rank = row.rank;
+    job.rank = job.spec.rank = row.rank;
     job.enter(JobPhase::cancelled);
     job.ghost = job.final_stored = true;
   }
@@ -163,7 +164,7 @@
 Urgency Scheduler::urgency_of(const Job& job) const {
   const auto team = teams_.find(job.spec.team);
   const bool guaranteed = team != teams_.end() && (team->second.guarantee.cpus > 0 || team->second.guarantee.gpus > 0);
-  return job.spec.rank == Rank::best_effort && !guaranteed ? Urgency::borrowed : Urgency::awaited;
+  return job.rank == Rank::best_effort && !guaranteed ? Urgency::borrowed : Urgency::awaited;
 }
 
 Urgency Scheduler::urgency_of(const RowKey& key) const {
@@ -366,7 +367,7 @@
   row.size = size;
   row.team = job.spec.team;
   row.need = job.spec.need;
-  row.rank = job.spec.rank;
+  row.rank = job.rank;
   row.next_attempt = job.next_attempt;
   row.failed = job.failed_machines();
   const auto hold = [&](std::uint32_t index, const MachineId& id) {
--- a/tests/chains_test.cpp
+++ b/tests/chains_test.cpp
@@ -164,6 +164,28 @@
   EXPECT_EQ(JobPhase::cancelled, c.ends.at(Chain::id(3)));
 }
 
+// Only the last job of a pipeline has the deadline and the rank that its user cares about.
+TEST(chains, earlier_jobs_are_as_urgent_as_the_most_urgent_that_needs_them) {
+  Chain c;
+  c.add(1, {});
+  Job last = c.job(3, {2});
+  last.spec.rank = Rank::high;
+  last.spec.deadline_s = 100;
+  last.spec.estimate_s = 10;
+  Job middle = c.job(2, {1});
+  middle.spec.estimate_s = 20;
+  c.s.add_job(middle, c.now);
+  c.s.add_job(last, c.now);
+  const auto& first = *c.s.find_job(Chain::id(1));
+  EXPECT_EQ(Rank::high, first.rank);
+  ASSERT_TRUE(first.due.has_value());
+  EXPECT_LT(*first.due, c.now + seconds(100 - 10 - 20));
+  EXPECT_GT(*first.due, c.now + seconds(100 - 10 - 20 - 10));
+  c.s.cancel(Chain::id(3), c.now);
+  EXPECT_EQ(Rank::normal, first.rank);
+  EXPECT_FALSE(first.due.has_value());
+}
+
 // A graph of jobs, some cancelled; the leader ends after any number of writes. Its successor, from what is stored,
 // comes to the same: a job is cancelled if and only if it needs one that a user cancelled.
 RC_GTEST_PROP(chains, a_successor_finishes_a_cascade, (const std::vector<std::vector<std::uint8_t>>& graph)) {
