--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -79,5 +79,20 @@
   EXPECT_THROW(apply_properties(wrong.path, p), SettingsError);
 }
 
+// The limits of later may name other fields than those of today's pages, any of them, or none.
+TEST(settings, limits_to_come_are_checked_where_they_stand) {
+  auto v = good();
+  EXPECT_FALSE(parse_settings(v.dump()).state_next);
+  v["facts"]["state"]["next"] = {{"value_kb", 2}, {"colour", "blue"}, {"txn_ops", nullptr}};
+  const auto s = parse_settings(v.dump());
+  ASSERT_TRUE(s.state_next);
+  EXPECT_EQ(2048U, s.state_next->value_bytes);
+  EXPECT_FALSE(s.state_next->txn_ops);
+  for (const auto& absurd : {R"({"value_kb":0})", R"({"txn_ops":1})", R"({"write_rps":"x"})", "[]", "7"}) {
+    v["facts"]["state"]["next"] = nlohmann::json::parse(absurd);
+    EXPECT_THROW(parse_settings(v.dump()), SettingsError) << absurd;
+  }
+}
+
 }  // namespace
 }  // namespace martenwall::config
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -11,9 +11,11 @@
 struct Store {
   rt::Loop loop;
   std::vector<std::size_t> sizes;  // of the transactions, as they came
+  int refusal = 0;
   rt::HttpServer server{
       loop, *rt::Endpoint::parse("127.0.0.1:0"), {}, [this](rt::HttpMessage m) -> rt::Task<rt::HttpResponse> {
         sizes.push_back(nlohmann::json::parse(m.body).at("then").size());
+        if (refusal != 0) co_return rt::HttpResponse{refusal, R"({"error":"value too large"})", {}, false};
         co_return rt::HttpResponse{200, R"({"epoch":7})", {}, false};
       }};
   Context ctx{loop, settings(), Policy{},
@@ -27,8 +29,18 @@
     s.state_rps = 1000;
     s.state_write_rps = 40;  // without a leader a node may use 0.3 of it
     s.workers = {3, 19, 50, 4, 39};
+    s.state_value_bytes = 8192;
+    s.state_txn_ops = 24;
+    s.state_next = config::Settings::NextLimits{{}, 28.0, 2048, 8};
     return s;
   }
+  rt::Task<void> refused(TxnOutcome wanted, std::size_t& done) {
+    std::vector<wire::StoreOp> then;
+    then.push_back({"k", wire::json::object(), std::nullopt});
+    const TxnResult r = co_await client.txn({}, std::move(then), seconds(60));
+    EXPECT_EQ(wanted, r.outcome);
+    ++done;
+  }
   rt::Task<void> write(std::size_t n, std::size_t& done) {
     std::vector<wire::StoreOp> then;
     for (std::size_t i = 0; i < n; ++i) then.push_back({"k" + std::to_string(i), wire::json::object(), std::nullopt});
@@ -53,5 +65,50 @@
   EXPECT_EQ(10U, s.sizes[1]) << "it came before the small ones";
 }
 
+// A lease that ended and a limit that fell are both 400. Taken for a lost lease, a row that is too large would make
+// each leader step down in turn, for ever.
+TEST(state_client, a_limit_is_told_from_a_lost_lease_and_the_lower_ones_are_taken) {
+  Store s;
+  rt::spawn(s.server.serve());
+  s.refusal = 400;
+  std::size_t done = 0;
+  EXPECT_EQ(24U, s.ctx.limits.txn_ops());
+  rt::spawn(s.refused(TxnOutcome::too_large, done));
+  const Time until = s.loop.refresh() + seconds(60);
+  while (done < 1 && s.loop.now() < until) s.loop.step();
+  ASSERT_EQ(1U, done);
+  EXPECT_EQ(StoreLimits::Stage::lowered, s.ctx.limits.stage());
+  EXPECT_EQ(8U, s.ctx.limits.txn_ops());
+  EXPECT_LE(s.ctx.limits.value_bytes(), 2048U);
+  EXPECT_EQ(28.0, s.ctx.limits.write_rps());
+}
+
+TEST(store_limits, sizes_are_kept_to_ahead_and_rates_from_refusals_on) {
+  const Store s;
+  StoreLimits limits{s.settings()};
+  limits.all_nodes_read_any_size();
+  EXPECT_EQ(8U, limits.txn_ops());
+  EXPECT_EQ(40.0, limits.write_rps());
+  EXPECT_FALSE(limits.refused_rate(Time{seconds(100)}));
+  EXPECT_FALSE(limits.refused_rate(Time{seconds(120)}));  // now and then one comes of a burst
+  EXPECT_FALSE(limits.refused_rate(Time{seconds(121)}));
+  EXPECT_TRUE(limits.refused_rate(Time{seconds(122)}));
+  EXPECT_EQ(28.0, limits.write_rps());
+}
+
+// Nothing was announced, or less than what came: found by halves, down to where any row still fits.
+TEST(store_limits, what_was_not_announced_is_found_out) {
+  const Store s;
+  auto settings = s.settings();
+  settings.state_next.reset();
+  StoreLimits limits{settings};
+  EXPECT_TRUE(limits.refused_size());
+  EXPECT_EQ(12U, limits.txn_ops());
+  for (int i = 0; i < 10; ++i) (void)limits.refused_size();
+  EXPECT_FALSE(limits.refused_size());
+  EXPECT_EQ(4U, limits.txn_ops());
+  EXPECT_GT(limits.value_bytes(), 900U);
+}
+
 }  // namespace
 }  // namespace martenwall::service
