Idle machines that a waiting job counts on stay; sessions prove nothing of inherited tasks

Cause of the first: a gang's machines came one by one and the first went back as idle before the last was up (the simulation found fleets that hired and returned for ever in quiet times). Tests for each.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -15,7 +15,8 @@
   double cost = 0;
 };
 
-constexpr std::uint32_t most_per_request = 50;  // PROTOCOL's bound
+constexpr Duration kept_for_a_job = seconds(2);  // the fleet is planned more often than that
+constexpr std::uint32_t most_per_request = 50;   // PROTOCOL's bound
 
 class Planner {
  public:
@@ -51,6 +52,7 @@
       if (!allows(*d.spec, v, zone) || (d.spot_only && !v.spot)) continue;
       const auto n = fill(*d.spec, v, left);
       if (n > 0) ready = std::max(ready, v.ready);
+      if (n > 0 && v.idle != nullptr) v.idle->wanted_until = view_.now + kept_for_a_job;
       left -= n;
     }
     while (left > 0) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -46,6 +46,7 @@
   Resources room;
   Time ready{};  // when it is expected to take starts
   bool to_hire = false;
+  Machine* idle = nullptr;  // up and empty: kept as long as a job that waits counts on it
 };
 
 struct FleetView {
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -150,6 +150,7 @@
   std::optional<JobId> reserved_for;
   Time reserved_until{};
   Time no_starts_before{};
+  Time wanted_until{};        // a job that waits for further machines counts on it
   std::set<JobId> blamed_by;  // jobs that failed here since a task last completed here
   Time judged_at{};           // no sooner is it decided whether the fault is its own
   bool quarantined = false;
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -296,7 +296,8 @@
   std::vector<Prospect> out;
   for (const auto& col : board.columns) {
     const auto& m = *col.machine;
-    if (!m.reserved_for && col.free.gpus > 0) out.push_back({col.type, m.zone, m.spot, col.free, now, false});
+    if (!m.reserved_for && col.free.gpus > 0)
+      out.push_back({col.type, m.zone, m.spot, col.free, now, false, m.empty() ? col.machine : nullptr});
   }
   for (const auto& [id, m] : machines_) {
     const auto* type = type_of(m.type);
@@ -399,7 +400,7 @@
     // Ordinary machines serve everyone, so they are the ones to keep warm.
     if (kind == 0 && place <= setup_.policy.warm_machines) continue;
     const auto limit = place <= kept.at(kind) ? longest : std::min(longest, setup_.policy.surplus_release);
-    if (now - m->idle_since < limit) continue;
+    if (now - m->idle_since < limit || now < m->wanted_until) continue;
     log_("machine " + m->id.value() + " to be released: idle");
     m->enter(MachinePhase::releasing, now);
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -80,10 +80,10 @@
 std::optional<JobStatus> Scheduler::status(const JobId& id) const {
   const auto* job = find_job(id);
   if (job == nullptr || job->ghost) return std::nullopt;
-  // One that it awaits may be known elsewhere to be cancelled.
-  if (!job->final_stored && !job->open.empty() && !(lookups_.empty() && asked_.empty())) return std::nullopt;
-  // Taken along by a cancellation that was told, perhaps long ago: not called active until its own end is stored.
-  if (!job->final_stored && cascade_of_.contains(id)) return std::nullopt;
+  // One that it awaits may be cancelled, and its user told, perhaps long ago: while that is looked up, or this job's
+  // own end is not stored yet, it is not called active.
+  const bool looking = !(lookups_.empty() && asked_.empty());
+  if (!job->final_stored && !job->open.empty() && (looking || is_final(job->phase))) return std::nullopt;
   JobStatus s{id, job->phase, std::min(job->done.count(), job->spec.tasks), job->running};
   // A final phase is told only once it is stored: until then the job is as it was before.
   if (is_final(s.phase) && job->final_stored) return s;
@@ -197,6 +197,9 @@
   // for them are refused.
   for (auto& p : m.placements) {
     if (p.state() == TaskState::planned && p.occupies()) continue;
+    // Of an earlier leader and not confirmed to this one: it may have been placed in the very session that begins here,
+    // where the first report that came was an older one. What the worker says once it has seen this token decides.
+    if (p.inherited && p.occupies()) continue;
     if (p.occupies()) vacate(m, p, now, "worker began a new session");
     p.gone = true;
   }
--- a/src/wire/user_codec.cpp
+++ b/src/wire/user_codec.cpp
@@ -67,8 +67,7 @@
     out.emplace_back(id.get<std::string>());
   }
   std::ranges::sort(out);
-  const auto rest = std::ranges::unique(out);
-  out.erase(rest.begin(), rest.end());
+  out.erase(std::unique(out.begin(), out.end()), out.end());
   return out;
 }
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -473,5 +473,37 @@
   }
 }
 
+// The first report to a new leader may have been held in the network since an earlier session: that the next one is of
+// another session says nothing of tasks that were placed in it.
+TEST(scheduler, an_inherited_task_outlives_a_late_report_of_an_earlier_session) {
+  Desk d;
+  d.job("job-1", Shape::array, 1, 1);
+  d.inherit(JobId{"job-1"}, 3);
+  auto old = d.report("i-1", {}, "a", 49);
+  d.s.on_report(old, ReportSource::beat, d.now, true);
+  auto r = d.report("i-1", {}, "a", 49);
+  r.session = Session{2};
+  d.s.on_report(r, ReportSource::beat, d.now, true);
+  EXPECT_EQ(1U, d.s.find_job(JobId{"job-1"})->placed.size());
+  r.tick = Tick{++d.tick};
+  r.token = Token{50};
+  d.s.on_report(r, ReportSource::beat, d.now, true);
+  EXPECT_TRUE(d.s.find_job(JobId{"job-1"})->placed.empty());
+}
+
+// A gang's machines come one by one: were the first returned as idle before the last is up, it would never start. (The
+// simulation found such fleets, hiring and returning for ever.)
+TEST(scheduler, machines_that_a_waiting_gang_counts_on_are_not_returned) {
+  Desk d{false, seconds(15)};
+  for (const char* id : {"i-1", "i-2"}) d.beat(id);
+  d.job("job-1", Shape::gang, 3, 4, "wide", Rank::normal, true);  // a third machine is on its way
+  for (int i = 0; i < 200; ++i) {
+    d.now += seconds(0.5);
+    for (const char* id : {"i-1", "i-2"}) d.beat(id);
+    d.s.round(d.now);
+    EXPECT_TRUE(d.s.take_releases(d.now).empty());
+  }
+}
+
 }  // namespace
 }  // namespace martenwall
