--- a/tests/chains_test.cpp
+++ b/tests/chains_test.cpp
@@ -19,7 +19,7 @@
   static Scheduler::Setup setup() {
     Scheduler::Setup u;
     u.terms = {3, 19, 50, 4, 39};
-    u.teams = {{"red", {0, 4, 0}, {0, 40, 0}}};
+    u.teams = {{"red", {0, 4, 0}, {0, 40, 0}}, {"wide", {}, {0, 1e6, 0}}};
     u.token = Token{50};
     return u;
   }
@@ -94,16 +94,24 @@
   EXPECT_EQ(1U, c.s.find_job(Chain::id(2))->placed.size());
 }
 
+// What is within its team's guarantee may stop what another team borrowed.
 TEST(chains, a_waiting_job_has_no_part_in_its_teams_guarantee) {
   Chain c;
-  c.add(1, {});
+  Job guest = c.job(9, {}, 4);
+  guest.spec.team = "wide";
+  c.s.add_job(guest, c.now);
+  c.report({});
+  c.s.round(c.now);
+  c.store_all();
+  c.report({});
+  c.report({{TaskId{Chain::id(9), 0}, Attempt{1}, TaskState::running, ExitCause::none, false}});
+  c.add(1, {}, 0);
   c.add(2, {1}, 4);  // with it, nothing after it would fit into the guarantee of 4
   c.add(3, {});
-  c.report({});
   c.s.round(c.now);
-  EXPECT_EQ(1U, c.s.find_job(Chain::id(3))->placed.size());
-  EXPECT_EQ(2.0, c.s.ledger().used("red").gpus);
   EXPECT_EQ(2U, c.s.last_round().rows);
+  const auto& placed = c.s.machines().at(MachineId{"i-1"}).placements;
+  EXPECT_TRUE(placed.front().task.job == Chain::id(9) && placed.front().stop_wanted);
 }
 
 TEST(chains, a_cancellation_takes_all_that_need_the_job_once_it_is_stored) {
--- a/tests/rows_test.cpp
+++ b/tests/rows_test.cpp
@@ -135,5 +135,54 @@
   }
 }
 
+// Two rows by number are under way as the gate is passed, and only the first is stored: a span that reached into the
+// second would count as stored with it, and its tasks would start without a record.
+TEST(rows, a_span_is_stored_with_no_other_row_than_its_own) {
+  Ledgered w;
+  w.beat();
+  w.s.round(w.now);
+  const auto rows = w.s.take_writes(2, false, w.now);
+  ASSERT_EQ(2U, rows.size());
+  ASSERT_EQ(RowKind::legacy_tasks, rows[1].key.kind);
+  w.s.stored({rows[0]}, w.now);
+  w.beat();
+  ASSERT_EQ(9U, w.on_machine.size());
+  w.ended.insert(0);
+  w.beat();  // the first row changes once more, after all of the second
+  const auto again = w.s.take_writes(1, false, w.now + seconds(10));
+  ASSERT_EQ(1U, again.size());
+  ASSERT_EQ(0U, again[0].key.part);
+  w.s.use_spans(w.now);
+  w.s.stored(again, w.now);
+  w.beat();
+  for (const auto& [index, attempt] : w.on_machine) EXPECT_LT(index, 9U);
+}
+
+// What a row by number still says of an index that a later row tells of is old.
+TEST(rows, the_row_that_begins_last_counts) {
+  Scheduler next{Ledgered::setup(true), [](const std::string&) {}};
+  next.load_job(Ledgered::job(), Time{seconds(1000)});
+  const auto row = [](std::uint32_t first, std::uint32_t size, std::uint32_t held, bool legacy) {
+    TaskRow r;
+    r.job = JobId{"job-1"};
+    r.first = first;
+    r.size = size;
+    r.legacy = legacy;
+    r.team = "red";
+    r.next_attempt = 9;
+    r.held = {{held, Attempt{8}, MachineId{"i-1"}, "a"}};
+    return r;
+  };
+  next.load_tasks(row(4, 4, 4, false), Time{seconds(1000)});
+  next.load_tasks(row(0, 8, 5, false), Time{seconds(1000)});
+  next.load_tasks(row(0, 9, 3, true), Time{seconds(1000)});
+  auto last = row(0, 9, 8, true);
+  next.load_tasks(last, Time{seconds(1000)});
+  next.finish_load(Time{seconds(1000)});
+  std::set<std::uint32_t> placed;
+  for (const auto& [index, id] : next.find_job(JobId{"job-1"})->placed) placed.insert(index);
+  EXPECT_EQ((std::set<std::uint32_t>{4, 8}), placed);
+}
+
 }  // namespace
 }  // namespace martenwall
