--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -442,6 +442,18 @@
   EXPECT_EQ(4U, stopped);
 }
 
+// Reports of another session that lack the inherited task: only with this leader's token they show that it is gone.
+void expect_kept_until_the_token_is_seen(Desk& d) {
+  auto r = d.report("i-1", {}, "a", 49);  // the earlier leader's token: its start may still arrive
+  r.session = Session{2};
+  d.s.on_report(r, ReportSource::beat, d.now, true);
+  EXPECT_EQ(1U, d.s.find_job(JobId{"job-1"})->placed.size());
+  r.tick = Tick{++d.tick};
+  r.token = Token{50};
+  d.s.on_report(r, ReportSource::beat, d.now, true);
+  EXPECT_TRUE(d.s.find_job(JobId{"job-1"})->placed.empty());
+}
+
 // The row of a machine is written when there is nothing else to write, so it may tell of an earlier session than the
 // rows of tasks that were placed since: a report of the later one does not show that they are gone.
 TEST(scheduler, an_inherited_task_is_not_given_up_for_a_session_that_its_machines_row_does_not_know) {
@@ -462,14 +474,7 @@
     row.held = {{0, Attempt{3}, MachineId{"i-1"}, "a"}};
     d.s.load_tasks(row, d.now);
     d.s.finish_load(d.now);
-    auto r = d.report("i-1", {}, "a", 49);  // the earlier leader's token: its start may still arrive
-    r.session = Session{2};
-    d.s.on_report(r, ReportSource::beat, d.now, true);
-    EXPECT_EQ(1U, d.s.find_job(JobId{"job-1"})->placed.size());
-    r.tick = Tick{++d.tick};
-    r.token = Token{50};
-    d.s.on_report(r, ReportSource::beat, d.now, true);
-    EXPECT_TRUE(d.s.find_job(JobId{"job-1"})->placed.empty());
+    expect_kept_until_the_token_is_seen(d);
   }
 }
 
@@ -481,14 +486,7 @@
   d.inherit(JobId{"job-1"}, 3);
   auto old = d.report("i-1", {}, "a", 49);
   d.s.on_report(old, ReportSource::beat, d.now, true);
-  auto r = d.report("i-1", {}, "a", 49);
-  r.session = Session{2};
-  d.s.on_report(r, ReportSource::beat, d.now, true);
-  EXPECT_EQ(1U, d.s.find_job(JobId{"job-1"})->placed.size());
-  r.tick = Tick{++d.tick};
-  r.token = Token{50};
-  d.s.on_report(r, ReportSource::beat, d.now, true);
-  EXPECT_TRUE(d.s.find_job(JobId{"job-1"})->placed.empty());
+  expect_kept_until_the_token_is_seen(d);
 }
 
 // A gang's machines come one by one: were the first returned as idle before the last is up, it would never start. (The
