--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -172,6 +172,8 @@
           {"fleet.capacity.retry.seconds", duration(p.capacity_retry)},
           {"fleet.guest.patience.seconds", duration(p.guest_patience)},
           {"fleet.guest.patience.without.spot.seconds", duration(p.guest_patience_without_spot)},
+          {"workers.relay", [&p](double v) { p.relay_reports = v != 0; }},
+          {"workers.relay.leader.weight", number(p.relay_leader_weight)},
           {"leader.lease.seconds", duration(p.lease_ttl)},
           {"leader.renew.seconds", duration(p.renew_every)}};
 }
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -37,6 +37,18 @@
   double grace_s = 0;
 };
 
+// What a worker's report is answered with, by whichever node.
+struct ReportAnswer {
+  enum class Kind : std::uint8_t {
+    orders,       // 200: renews its lease
+    misdirected,  // this node is not entitled to act
+    gone,         // the machine was returned
+    later,        // not looked at: the answer would have become too long
+  };
+  Kind kind = Kind::misdirected;
+  std::vector<Order> orders{};
+};
+
 struct DirectBatch {
   MachineId machine;
   std::string addr;
--- a/src/core/policy.cpp
+++ b/src/core/policy.cpp
@@ -28,6 +28,8 @@
       direct_starts(true),
       error_limit(2),
       suspect_machines(3),
+      relay_reports(false),
+      relay_leader_weight(0.5),
       lease_ttl(seconds(2)),
       renew_every(seconds(0.5)),
       margin(seconds(1)) {}
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -38,6 +38,9 @@
   bool direct_starts;
   int error_limit;       // failures in a row of different jobs: quarantine
   int suspect_machines;  // a job that failed on so many, with nothing done, is suspect
+  // Workers
+  bool relay_reports;          // followers take workers' reports and pass them on
+  double relay_leader_weight;  // part of a follower's share of the workers that report to the leader itself
   // Leadership
   Duration lease_ttl;
   Duration renew_every;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -12,6 +12,7 @@
 constexpr Duration tombstone_life = seconds(600);
 // Ends of an array's tasks wait a moment for each other: only the last one is awaited by a user.
 constexpr Duration end_delay = seconds(1.2);
+constexpr std::size_t max_orders = 300;  // in one answer: a line of it may have 64 KiB
 }  // namespace
 
 Scheduler::Scheduler(Setup setup, Log log) : setup_(std::move(setup)), log_(std::move(log)), used_(teams_) {
@@ -150,7 +151,10 @@
   // Held in the network, a report of a session that has surely ended must not revive its tasks.
   if (r.session <= m.ended_session) return {};
   const bool newer = !m.seen || r.session > m.session || (r.session == m.session && r.tick > m.tick);
-  // Reports can be held in the network: an older one says nothing about now.
+  // Reports can be held in the network: an older one says nothing about now. The newest one may come twice, where a
+  // node that passes it on did not get the answer: what it is to be answered stands as it did.
+  const bool repeated = m.seen && r.session == m.session && r.tick == m.tick && source == ReportSource::beat;
+  if (repeated) return orders_for(m, r.tick, now, proven);
   if (m.seen && !newer) return {};
   if (!m.seen && r.session < m.session) return {};
   m.last_heard = now;
@@ -492,6 +496,8 @@
 std::vector<Order> Scheduler::orders_for(Machine& m, Tick tick, Time now, bool proven) {
   std::vector<Order> out;
   for (auto& p : m.placements) {
+    // An answer must stay short; what is beyond comes with the next one.
+    if (out.size() >= max_orders) break;
     if (!p.gone) order_for(m, p, tick, now, proven, out);
   }
   return out;
--- /dev/null
+++ b/src/relay/leader_link.cpp
@@ -0,0 +1,82 @@
+#include "relay/leader_link.hpp"
+
+#include <array>
+
+namespace martenwall::relay {
+
+namespace {
+constexpr Duration election = seconds(0.7);      // from the end of a lease until another node leads, mostly 0.2 s
+constexpr Duration probe_soon = seconds(0.2);    // while reports wait for the answer
+constexpr Duration probe_seldom = seconds(1.0);  // while workers go to the leader themselves
+}  // namespace
+
+std::string_view name_of(LinkState s) {
+  static constexpr std::array<std::string_view, 5> names{"none", "probing", "open", "doubted", "redirecting"};
+  return names.at(static_cast<std::size_t>(s));
+}
+
+LeaderLink::LeaderLink(Duration lease) : patience_(lease + election) {}
+
+void LeaderLink::enter(LinkState next, Time now) {
+  if (next == state_) return;
+  const bool was_failing = state_ == LinkState::doubted || state_ == LinkState::redirecting;
+  const bool fails = next == LinkState::doubted || next == LinkState::redirecting;
+  if (fails && !was_failing && state_ != LinkState::probing) failing_since_ = now;
+  state_ = next;
+  since_ = now;
+}
+
+void LeaderLink::leader_is(const std::string& node, Time now) {
+  if (node == leader_) return;
+  leader_ = node;
+  failing_since_ = now;
+  last_probe_ = Time{Duration::min() / 2};
+  enter(node.empty() ? LinkState::none : LinkState::probing, now);
+}
+
+void LeaderLink::failed(Time now) {
+  if (state_ == LinkState::open) enter(LinkState::doubted, now);
+  if (state_ == LinkState::none || state_ == LinkState::redirecting) return;
+  if (now - failing_since_ >= patience_) enter(LinkState::redirecting, now);
+}
+
+void LeaderLink::probed(ProbeAnswer answer, Time now) {
+  if (state_ == LinkState::none) return;
+  switch (answer) {
+    case ProbeAnswer::leads:
+      enter(LinkState::open, now);
+      return;
+    case ProbeAnswer::old:
+      enter(LinkState::redirecting, now);
+      return;
+    case ProbeAnswer::follows:  // what this node knows of the leader is outdated
+    case ProbeAnswer::nothing:
+      failed(now);
+      return;
+  }
+}
+
+void LeaderLink::passed(bool answered, Time now) {
+  if (!answered) failed(now);
+}
+
+Advice LeaderLink::advice() const {
+  switch (state_) {
+    case LinkState::open:
+      return Advice::pass_on;
+    case LinkState::redirecting:
+      return Advice::redirect;
+    case LinkState::none:
+    case LinkState::probing:
+    case LinkState::doubted:
+      return Advice::hold;
+  }
+  return Advice::hold;
+}
+
+bool LeaderLink::probe_due(Time now) const {
+  if (state_ == LinkState::none || state_ == LinkState::open) return false;
+  return now - last_probe_ >= (state_ == LinkState::redirecting ? probe_seldom : probe_soon);
+}
+
+}  // namespace martenwall::relay
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -32,8 +32,9 @@
   }
 }
 
-Task<std::optional<HttpMessage>> HttpServer::read_request(Socket& socket, HttpParser& parser, std::string& spare) {
-  Time deadline = loop_.now() + bounds_.idle;
+Task<std::optional<HttpMessage>> HttpServer::read_request(Socket& socket, HttpParser& parser, std::string& spare,
+                                                          Duration idle) {
+  Time deadline = loop_.now() + idle;
   std::array<char, 8192> buffer{};
   for (;;) {
     const bool before = parser.started();
@@ -51,8 +52,11 @@
   ++open_;
   HttpParser parser{HttpParser::Kind::request, HttpParser::Limits{}};
   std::string spare;
+  bool bulk = false;
   for (;;) {
-    auto request = co_await read_request(socket, parser, spare);
+    auto request = co_await read_request(socket, parser, spare, bulk ? bounds_.bulk_idle : bounds_.idle);
+    const bool is_bulk = request && !bounds_.bulk_path.empty() && request->target.starts_with(bounds_.bulk_path);
+    if (is_bulk && !std::exchange(bulk, true)) ++bulk_;
     // What waited while this process stood still is older than its sender's patience: work for someone who has
     // left would only hold up those who are there.
     const bool after_stall = loop_.now() - loop_.last_stall().ended < catching_up;
@@ -78,6 +82,7 @@
     const bool sent = co_await socket.write_all(bytes, deadline);
     if (!sent || close) break;
   }
+  if (bulk) --bulk_;
   --open_;
 }
 
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -13,9 +13,17 @@
   // Leave sockets for the state service, the cloud, workers and the other nodes.
   const std::size_t kept = std::min<std::size_t>(150 + s.max_connections / 10, s.max_connections / 3);
   b.connections = s.max_connections - kept;
+  // A worker that is well speaks again sooner; a silent one's connection is better given to another.
+  b.bulk_path = "/agent/";
+  b.bulk_idle = std::max(seconds(15), seconds(s.workers.report_s * 2.5));
   return b;
 }
 
+// Users keep a sixth of the connections, whatever workers do.
+std::size_t worker_room(const rt::HttpServer::Bounds& b) {
+  return b.connections - std::min(b.connections, std::max<std::size_t>(16, b.connections / 6));
+}
+
 rt::HttpResponse plain(int status) { return {status, "{}", {}, false}; }
 
 }  // namespace
@@ -31,10 +39,14 @@
       users_(ctx_, state_, store_, job_rows_),
       peers_(ctx_, [this](wire::PeerRequest r) { return route_peer(std::move(r)); }),
       reach_(ctx_, state_, store_, peers_),
+      relay_(ctx_, peers_, workers_),
       server_(loop, *rt::Endpoint::parse(ctx_.settings.listen), bounds_of(ctx_.settings),
               [this](rt::HttpMessage m) { return route(std::move(m)); }) {
   users_.set_peers(peers_);
   cloud_.set_peers(peers_);
+  relay_.count_by([this, room = worker_room(bounds_of(ctx_.settings))] {
+    return relay::NodeLoad{server_.bulk(), room};
+  });
 }
 
 void Node::run() {
@@ -52,6 +64,7 @@
   rt::spawn(peers_.watch_others());
   rt::spawn(users_.run_questions());
   rt::spawn(reach_.run());
+  rt::spawn(relay_.run());
   rt::spawn(server_.serve());
   ctx_.log->info("{} serves on {}, grace {} s", ctx_.settings.node, ctx_.settings.listen,
                  to_seconds(ctx_.leadership.grace()));
@@ -62,7 +75,7 @@
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == "/agent/beat") {
     if (request.method != "POST") co_return plain(405);
-    co_return co_await workers_.report(std::move(request.body));
+    co_return co_await relay_.report(std::move(request.body));
   }
   if (path == "/up") {
     if (request.method != "GET") co_return plain(405);
@@ -81,6 +94,7 @@
 
 rt::Task<wire::PeerReply> Node::route_peer(wire::PeerRequest request) {
   if (request.verb == wire::PeerVerb::stranded) co_return reach_.on_claim(request);
+  if (request.verb == wire::PeerVerb::reports) co_return co_await relay_.on_reports(std::move(request));
   if (request.verb == wire::PeerVerb::cloud) co_return co_await cloud_.on_peer(std::move(request));
   co_return co_await users_.on_peer(std::move(request));
 }
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -8,6 +8,7 @@
 #include "service/level_service.hpp"
 #include "service/peer_service.hpp"
 #include "service/reach_service.hpp"
+#include "service/relay_service.hpp"
 #include "service/state_client.hpp"
 #include "service/user_service.hpp"
 #include "service/worker_service.hpp"
@@ -34,6 +35,7 @@
   UserService users_;
   PeerService peers_;
   ReachService reach_;
+  RelayService relay_;
   rt::HttpServer server_;
 };
 
--- a/src/service/peer_service.cpp
+++ b/src/service/peer_service.cpp
@@ -135,6 +135,15 @@
   co_return std::nullopt;
 }
 
+rt::Task<std::optional<wire::PeerReply>> PeerService::ask_node(std::string node, wire::PeerRequest request,
+                                                               Duration timeout) {
+  const auto peer = std::ranges::find(ctx_.settings.peers, node, &config::Peer::node);
+  if (peer == ctx_.settings.peers.end()) co_return std::nullopt;
+  const Time deadline = ctx_.now() + timeout;
+  std::string frame = wire::encode_frame(request);
+  co_return co_await ask(peer->addr, std::move(frame), deadline);
+}
+
 rt::Task<std::optional<wire::PeerReply>> PeerService::ask_leader(wire::PeerRequest request, Duration timeout) {
   const auto peer = std::ranges::find(ctx_.settings.peers, ctx_.leader, &config::Peer::node);
   if (peer == ctx_.settings.peers.end()) co_return std::nullopt;
--- a/src/service/peer_service.hpp
+++ b/src/service/peer_service.hpp
@@ -19,6 +19,8 @@
   rt::Task<std::optional<wire::PeerReply>> ask_leader(wire::PeerRequest request, Duration timeout);
   // The answer of any other node that gives one other than 503; the one that did last is asked first.
   rt::Task<std::optional<wire::PeerReply>> ask_others(wire::PeerRequest request, Duration timeout);
+  // That node's answer, whatever it is; nothing of this is remembered.
+  rt::Task<std::optional<wire::PeerReply>> ask_node(std::string node, wire::PeerRequest request, Duration timeout);
   // The leader could not be reached a moment ago, so that it is not asked now.
   [[nodiscard]] bool leader_unreachable() const {
     return ctx_.now() < link_down_until_ && link_down_to_ == ctx_.leader;
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -463,7 +463,12 @@
 // ---- asked by other nodes ----
 
 rt::Task<wire::PeerReply> UserService::on_peer(wire::PeerRequest request) {
-  if (request.verb == wire::PeerVerb::ping) co_return wire::PeerReply{ctx_.reaches_state() ? 200 : 503, "", {}};
+  if (request.verb == wire::PeerVerb::ping) {
+    const bool leads = ctx_.leadership.state() != LeaderState::follower;
+    wire::PeerReply reply{ctx_.reaches_state() ? 200 : 503, std::string{wire::passes_reports}, {}};
+    if (leads) reply.body = wire::takes_reports;
+    co_return reply;
+  }
   if (!ctx_.proven()) co_return wire::PeerReply{421, "{}", {}};
   if (request.verb == wire::PeerVerb::statuses) {
     wire::PeerReply reply{200, "", {}};
--- a/src/service/worker_service.cpp
+++ b/src/service/worker_service.cpp
@@ -17,7 +17,7 @@
   return {421, wire::encode_misdirected(other ? ctx_.leader : ""), {}, false};
 }
 
-rt::Task<rt::HttpResponse> WorkerService::report(std::string body) {
+rt::Task<void> WorkerService::settled() {
   // A leader that is still reading the store will know in a moment.
   for (int i = 0; i < 30 && ctx_.leadership.state() == LeaderState::loading; ++i) {
     co_await ctx_.loop.sleep(seconds(0.05));
@@ -25,25 +25,35 @@
   // One that stood still learns first whether another leads by now: its 200 would keep the worker here, without
   // renewing its lease.
   for (int i = 0; i < 25 && ctx_.scheduler != nullptr && ctx_.just_woke(); ++i) co_await ctx_.loop.sleep(seconds(0.05));
-  const auto report = wire::parse_report(body);
-  if (!report) co_return rt::HttpResponse{400, "{}", {}, false};
-  // From here to the answer there is no wait; a stop in between is harmless (docs/safety.md).
+}
+
+ReportAnswer WorkerService::answer(const WorkerReport& report) {
   const Time now = ctx_.loop.refresh();
-  ctx_.hearing.beat(now);
-  if (ctx_.scheduler == nullptr || !ctx_.leadership.serves_workers(now)) {
-    if (ctx_.has_other_leader()) ctx_.turned_away.note(report->machine, now);
-    co_return misdirected();
-  }
-  if (report->token > ctx_.leadership.token()) {
+  if (ctx_.scheduler == nullptr || !ctx_.leadership.serves_workers(now)) return {};
+  if (report.token > ctx_.leadership.token()) {
     store_.step_down("a worker has seen a higher token");
-    co_return misdirected();
+    return {};
   }
-  if (ctx_.scheduler->is_gone(report->machine)) co_return rt::HttpResponse{503, "{}", {}, false};
-  const auto orders = ctx_.scheduler->on_report(*report, ReportSource::beat, now, ctx_.leadership.proven(now));
-  ctx_.scheduler->answered(report->machine, ctx_.loop.refresh());
-  rt::HttpResponse response{200, wire::encode_orders(ctx_.leadership.token(), orders), {}, false};
-  ctx_.kick();
-  co_return response;
+  if (ctx_.scheduler->is_gone(report.machine)) return {ReportAnswer::Kind::gone, {}};
+  ReportAnswer out{ReportAnswer::Kind::orders, {}};
+  out.orders = ctx_.scheduler->on_report(report, ReportSource::beat, now, ctx_.leadership.proven(now));
+  // From here its lease may be renewed. It counts from the sending of the report, which lies before this moment,
+  // however long the answer takes and whichever node hands it over.
+  ctx_.scheduler->answered(report.machine, ctx_.loop.refresh());
+  return out;
+}
+
+rt::HttpResponse WorkerService::response_to(const ReportAnswer& answer, Token token) const {
+  switch (answer.kind) {
+    case ReportAnswer::Kind::orders:
+      return {200, wire::encode_orders(token, answer.orders), {}, false};
+    case ReportAnswer::Kind::gone:
+    case ReportAnswer::Kind::later:
+      return {503, "{}", {}, false};
+    case ReportAnswer::Kind::misdirected:
+      break;
+  }
+  return misdirected();
 }
 
 rt::Task<void> WorkerService::run() {
--- a/src/wire/peer_codec.hpp
+++ b/src/wire/peer_codec.hpp
@@ -15,7 +15,8 @@
   ping = 5,
   stranded = 6,
   cloud = 7,
-  submit_chained = 8
+  submit_chained = 8,
+  reports = 9
 };
 
 struct PeerRequest {
@@ -27,6 +28,8 @@
                                     // `submit_chained`: as `submit`, which versions of level 1 would take without
                                     // what the job awaits; they close the connection instead
                                     // `cloud`: `job` is method and target of a request to be passed on
+                                    // `reports`: `body` is a batch of workers' reports (report_codec.hpp); only sent
+                                    // to a node whose answer to a ping says that it takes them
 };
 
 // What the leader knows of a job from memory; not known: the store has to be asked.
@@ -43,6 +46,10 @@
   std::vector<PeerStatus> statuses{};
 };
 
+// In the answer to a ping; versions that do not pass reports on say nothing there.
+constexpr std::string_view takes_reports = "leads";
+constexpr std::string_view passes_reports = "follows";
+
 constexpr std::size_t max_peer_frame = 80 * 1024;
 std::string encode_frame(const PeerRequest& request);
 std::string encode_frame(const PeerReply& reply);
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,380 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <spdlog/sinks/null_sink.h>
+
+#include "relay/leader_link.hpp"
+#include "relay/worker_share.hpp"
+#include "service/relay_service.hpp"
+#include "wire/report_codec.hpp"
+#include "wire/worker_codec.hpp"
+
+namespace martenwall {
+namespace {
+
+using relay::Advice;
+using relay::LeaderLink;
+using relay::LinkState;
+using relay::ProbeAnswer;
+
+Time at(double s) { return Time{seconds(100 + s)}; }
+
+// ---- the way to the leader ----
+
+TEST(leader_link, reports_are_held_through_an_election_and_sent_on_when_only_the_link_fails) {
+  LeaderLink link{seconds(2)};
+  link.leader_is("a", at(0));
+  EXPECT_EQ(Advice::hold, link.advice());
+  link.probed(ProbeAnswer::leads, at(0.1));
+  EXPECT_EQ(Advice::pass_on, link.advice());
+  link.passed(false, at(10));
+  EXPECT_EQ(LinkState::doubted, link.state());
+  link.probed(ProbeAnswer::nothing, at(11));
+  EXPECT_EQ(Advice::hold, link.advice()) << "a dead leader keeps its lease for so long: another will lead soon";
+  link.leader_is("b", at(12));
+  link.probed(ProbeAnswer::follows, at(12.1));
+  EXPECT_EQ(Advice::hold, link.advice());
+  link.probed(ProbeAnswer::leads, at(12.2));
+  EXPECT_EQ(Advice::pass_on, link.advice());
+  for (const double s : {20.0, 21.0, 22.0, 23.0}) link.probed(ProbeAnswer::nothing, at(s));
+  EXPECT_EQ(Advice::redirect, link.advice()) << "its lease would have ended: it lives, and the link does not";
+  link.probed(ProbeAnswer::leads, at(24));
+  EXPECT_EQ(Advice::pass_on, link.advice());
+}
+
+TEST(leader_link, an_older_leader_gets_its_workers_itself) {
+  LeaderLink link{seconds(2)};
+  link.leader_is("a", at(0));
+  link.probed(ProbeAnswer::old, at(0.1));
+  EXPECT_EQ(Advice::redirect, link.advice());
+  EXPECT_FALSE(link.probe_due(at(0.1)) && !link.probe_due(at(5)));
+  link.leader_is("", at(1));
+  EXPECT_EQ(Advice::hold, link.advice());
+}
+
+// Whatever comes, a link that was answered last is used, and one never answered by a leader is not.
+TEST(leader_link, generated_events) {
+  rc::check([] {
+    LeaderLink link{seconds(2)};
+    double now = 0;
+    bool answered = false;
+    std::string leader;
+    for (const int event : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 7))) {
+      now += 0.1 * *rc::gen::inRange(0, 20);
+      if (event < 2) {
+        const std::string next = event == 0 ? "" : *rc::gen::element<std::string>("a", "b");
+        if (next != leader) answered = false;
+        leader = next;
+        link.leader_is(leader, at(now));
+      } else if (event < 6) {
+        const auto said = static_cast<ProbeAnswer>(event - 2);
+        link.probed(said, at(now));
+        answered = said == ProbeAnswer::leads && !leader.empty();
+      } else {
+        link.passed(false, at(now));
+        answered = false;
+      }
+      RC_ASSERT((link.advice() == Advice::pass_on) == answered);
+      RC_ASSERT(!leader.empty() || link.advice() == Advice::hold);
+    }
+  });
+}
+
+// ---- which node a worker reports to ----
+
+struct Fleet {
+  std::vector<std::string> names{"a", "b", "c"};
+  std::vector<relay::WorkerShare> nodes;
+  std::vector<std::size_t> workers, room;
+  explicit Fleet(std::vector<std::size_t> w, std::vector<std::size_t> r) : workers(std::move(w)), room(std::move(r)) {
+    for (const auto& n : names) nodes.emplace_back(n, 0.5);
+    for (auto& n : nodes) n.leader_is("a");
+  }
+  // One second: all tell each other, and each worker reports once.
+  std::size_t second(double now, std::size_t& closed) {
+    std::size_t moved = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+      for (std::size_t j = 0; j < 3; ++j) nodes[i].heard(names[j], {workers[j], room[j]}, at(now));
+    }
+    const auto before = workers;
+    for (std::size_t i = 0; i < 3; ++i) {
+      for (std::size_t w = 0; w < before[i]; ++w) {
+        const auto p = nodes[i].place(MachineId{names[i] + std::to_string(now) + std::to_string(w)},
+                                      {workers[i], room[i]}, at(now + 0.9 * static_cast<double>(w) / 2000));
+        if (p.kind == relay::Placing::Kind::keep_and_close) ++closed;
+        if (p.kind != relay::Placing::Kind::move) continue;
+        ++moved;
+        --workers[i];
+        ++workers[p.to == "a" ? 0 : p.to == "b" ? 1 : 2];
+      }
+    }
+    return moved;
+  }
+};
+
+TEST(worker_share, a_node_that_holds_nearly_all_sends_them_on_until_each_has_its_part_and_then_none) {
+  Fleet f{{1500, 20, 0}, {1555, 1555, 1555}};
+  std::size_t closed = 0;
+  std::size_t most = 0;
+  for (int s = 0; s < 200; ++s) most = std::max(most, f.second(s, closed));
+  EXPECT_LE(most, 62U) << "a rush of reconnections";
+  EXPECT_NEAR(304, static_cast<double>(f.workers[0]), 70);  // half a share
+  EXPECT_NEAR(608, static_cast<double>(f.workers[1]), 130);
+  EXPECT_NEAR(608, static_cast<double>(f.workers[2]), 130);
+  std::size_t moved = 0;
+  for (int s = 200; s < 230; ++s) moved += f.second(s, closed);
+  EXPECT_EQ(0U, moved);
+  EXPECT_EQ(0U, closed);
+}
+
+TEST(worker_share, full_nodes_send_on_at_once_while_others_have_room_and_close_connections_when_none_has) {
+  Fleet f{{900, 10, 10}, {300, 300, 300}};
+  std::size_t closed = 0;
+  f.second(0, closed);
+  EXPECT_LE(f.workers[1], 300U);
+  EXPECT_LE(f.workers[2], 300U);
+  EXPECT_GE(f.workers[1] + f.workers[2], 560U);
+  EXPECT_GT(closed, 0U);
+}
+
+TEST(worker_share, a_node_that_workers_come_back_from_is_left_alone) {
+  relay::WorkerShare share{"b", 0.5};
+  share.heard("a", {0, 1000}, at(0));
+  const MachineId worker{"i-1"};
+  const auto first = share.place(worker, {500, 1000}, at(0));
+  ASSERT_EQ(relay::Placing::Kind::move, first.kind);
+  EXPECT_EQ("a", first.to);
+  share.heard("a", {0, 1000}, at(5));
+  EXPECT_EQ(relay::Placing::Kind::keep, share.place(worker, {500, 1000}, at(5)).kind);
+  EXPECT_EQ(relay::Placing::Kind::keep, share.place(MachineId{"i-2"}, {500, 1000}, at(6)).kind);
+  share.heard("a", {0, 1000}, at(40));
+  EXPECT_EQ(relay::Placing::Kind::move, share.place(MachineId{"i-2"}, {500, 1000}, at(40)).kind);
+}
+
+// ---- batches ----
+
+std::string encoded(std::vector<WorkerReport> reports) {
+  wire::ReportBatch batch;
+  batch.sender.node = "node";
+  batch.sender.room = 9;
+  batch.reports = std::move(reports);
+  return wire::encode_batch(batch);
+}
+
+rc::Gen<WorkerReport> any_report() {
+  return rc::gen::exec([] {
+    WorkerReport r;
+    r.machine = MachineId{"i-" + std::to_string(*rc::gen::inRange(0, 99999))};
+    r.addr = *rc::gen::arbitrary<std::string>();
+    r.type = *rc::gen::arbitrary<std::string>();
+    r.zone = "z";
+    r.spot = *rc::gen::arbitrary<bool>();
+    r.session = Session{*rc::gen::arbitrary<std::uint64_t>()};
+    r.tick = Tick{*rc::gen::arbitrary<std::uint64_t>()};
+    r.token = Token{*rc::gen::arbitrary<std::uint64_t>()};
+    if (*rc::gen::arbitrary<bool>()) r.notice_s = *rc::gen::inRange(0, 100);
+    const int n = *rc::gen::inRange(0, 40);
+    for (int i = 0; i < n; ++i) {
+      r.tasks.push_back({TaskId{JobId{"job-" + std::to_string(i)}, *rc::gen::arbitrary<std::uint32_t>()},
+                         Attempt{*rc::gen::arbitrary<std::uint64_t>()}, static_cast<TaskState>(*rc::gen::inRange(2, 7)),
+                         static_cast<ExitCause>(*rc::gen::inRange(0, 9)), *rc::gen::arbitrary<bool>()});
+    }
+    return r;
+  });
+}
+
+TEST(report_codec, what_is_passed_on_comes_out_the_same_and_fits_its_bound) {
+  rc::check([] {
+    const auto reports = *rc::gen::container<std::vector<WorkerReport>>(any_report());
+    const auto bytes = encoded(reports);
+    const auto back = wire::decode_batch(bytes);
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(back->sender.room == 9U);
+    RC_ASSERT(back->reports.size() == reports.size());
+    std::size_t bound = 64;
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+      const auto& a = reports[i];
+      const auto& b = back->reports[i];
+      bound += wire::encoded_size(a);
+      RC_ASSERT(a.machine == b.machine && a.addr == b.addr && a.type == b.type && a.spot == b.spot);
+      RC_ASSERT(a.session == b.session && a.tick == b.tick && a.token == b.token && a.notice_s == b.notice_s);
+      RC_ASSERT(a.tasks.size() == b.tasks.size());
+      for (std::size_t t = 0; t < a.tasks.size(); ++t) {
+        RC_ASSERT(a.tasks[t].task == b.tasks[t].task && a.tasks[t].attempt == b.tasks[t].attempt);
+        RC_ASSERT(a.tasks[t].state == b.tasks[t].state && a.tasks[t].cause == b.tasks[t].cause);
+        RC_ASSERT(a.tasks[t].saved == b.tasks[t].saved);
+      }
+    }
+    RC_ASSERT(bytes.size() <= bound);
+  });
+}
+
+// A task left out would be taken for absent: nothing that is cut short or changed may pass for a shorter report.
+TEST(report_codec, a_batch_that_cannot_be_read_whole_is_not_read) {
+  rc::check([] {
+    const auto bytes = encoded({*any_report(), *any_report()});
+    const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!wire::decode_batch(std::string_view{bytes}.substr(0, cut)));
+    RC_ASSERT(!wire::decode_batch(bytes + "x"));
+    wire::decode_batch(*rc::gen::arbitrary<std::string>());  // ends, whatever comes
+    wire::decode_answers(*rc::gen::arbitrary<std::string>());
+  });
+}
+
+TEST(report_codec, answers_keep_their_orders_and_starts_that_no_worker_reports_are_refused) {
+  const wire::ReportAnswers in{
+      Token{7},
+      {{ReportAnswer::Kind::orders, {{Order::Verb::stop, {JobId{"job-1"}, 4}, Attempt{9}, 2.5}}},
+       {ReportAnswer::Kind::gone, {}}},
+      {{"a", 1, 2}}};
+  const auto out = wire::decode_answers(wire::encode_answers(in));
+  ASSERT_TRUE(out);
+  EXPECT_EQ(Token{7}, out->token);
+  ASSERT_EQ(2U, out->answers.size());
+  ASSERT_EQ(1U, out->answers[0].orders.size());
+  EXPECT_EQ(2.5, out->answers[0].orders[0].grace_s);
+  EXPECT_EQ(4U, out->answers[0].orders[0].task.index);
+  EXPECT_EQ(ReportAnswer::Kind::gone, out->answers[1].kind);
+  ASSERT_EQ(1U, out->nodes.size());
+  EXPECT_EQ(2U, out->nodes[0].room);
+  WorkerReport r;
+  r.machine = MachineId{"i-1"};
+  r.tasks.push_back({TaskId{JobId{"job-1"}, 0}, Attempt{1}, TaskState::sent, ExitCause::none, false});
+  EXPECT_FALSE(wire::decode_batch(encoded({r})));
+}
+
+}  // namespace
+
+// ---- two nodes on loopback ----
+
+namespace service {
+namespace {
+
+config::Settings settings_of(const std::string& node, std::vector<config::Peer> peers) {
+  config::Settings s;
+  s.node = node;
+  s.peer_listen = "127.0.0.1:0";
+  s.state = s.cloud = "127.0.0.1:1";
+  s.peers = std::move(peers);
+  s.workers = {3, 19, 50, 4, 39};
+  return s;
+}
+
+Policy relaying() {
+  Policy p;
+  p.relay_reports = true;
+  return p;
+}
+
+// Everything of a node that reports pass through.
+struct Side {
+  Context ctx;
+  StateClient state{ctx};
+  JobRows rows{ctx, state};
+  LevelService levels{ctx, state};
+  LeaderStore store{ctx, state, rows, levels};
+  WorkerService workers{ctx, store};
+  bool refuses = false;  // its peers' requests
+  bool old_version = false;
+  PeerService peers;
+  RelayService relay{ctx, peers, workers};
+  Side(rt::Loop& loop, const config::Settings& s, const std::shared_ptr<spdlog::logger>& log)
+      : ctx(loop, s, relaying(), log), peers(ctx, [this](wire::PeerRequest r) { return serve(std::move(r)); }) {}
+  rt::Task<wire::PeerReply> serve(wire::PeerRequest r) {
+    wire::PeerReply reply{503, "", {}};
+    if (refuses) co_return reply;
+    if (r.verb == wire::PeerVerb::reports) co_return co_await relay.on_reports(std::move(r));
+    reply.status = 200;
+    if (!old_version) {
+      reply.body = ctx.scheduler != nullptr ? wire::takes_reports : wire::passes_reports;
+    }
+    co_return reply;
+  }
+  void lead(std::uint64_t token) {
+    ctx.leadership.acquired(Token{token}, ctx.loop.refresh());
+    Scheduler::Setup setup;
+    setup.terms = ctx.settings.workers;
+    setup.token = Token{token};
+    ctx.scheduler = std::make_unique<Scheduler>(setup, [](const std::string&) {});
+    ctx.leadership.loaded(ctx.loop.now());
+    ctx.lease_checked = ctx.loop.now();
+    ctx.leader = ctx.settings.node;
+  }
+};
+
+struct Two {
+  rt::Loop loop;
+  std::shared_ptr<spdlog::logger> log =
+      std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
+  Side leader{loop, settings_of("lead", {}), log};
+  Side other{loop, settings_of("other", {{"lead", "a", "127.0.0.1:" + std::to_string(leader.peers.port())}}), log};
+  Two() {
+    rt::spawn(leader.peers.serve());
+    rt::spawn(other.relay.run());
+  }
+  static std::string report(int machine, int tick, int token) {
+    return R"({"host":"i-)" + std::to_string(machine) +
+           R"(","endpoint":"127.0.0.1:9","breed":"g8","yard":"a","tenure":1,"tick":)" + std::to_string(tick) +
+           R"(,"baton":)" + std::to_string(token) + R"(,"shards":[]})";
+  }
+  rt::Task<void> ask(std::string body, std::optional<rt::HttpResponse>& out) {
+    out = co_await other.relay.report(std::move(body));
+  }
+  rt::HttpResponse answer_of(std::string body) {
+    std::optional<rt::HttpResponse> out;
+    rt::spawn(ask(std::move(body), out));
+    const Time until = loop.refresh() + seconds(30);
+    while (!out && loop.now() < until) loop.step();
+    return out.value_or(rt::HttpResponse{0, "", {}, false});
+  }
+};
+
+TEST(relay_service, a_follower_hands_out_the_leaders_answers_under_its_token) {
+  Two t;
+  t.leader.lead(12);
+  t.other.ctx.leader = "lead";
+  std::vector<std::optional<rt::HttpResponse>> out(150);
+  for (int i = 0; i < 150; ++i) rt::spawn(t.ask(Two::report(i, 1, 0), out[static_cast<std::size_t>(i)]));
+  const auto missing = [&] { return std::ranges::any_of(out, [](const auto& r) { return !r.has_value(); }); };
+  const Time until = t.loop.refresh() + seconds(30);
+  while (missing() && t.loop.now() < until) t.loop.step();
+  for (const auto& r : out) {
+    ASSERT_TRUE(r.has_value());
+    EXPECT_EQ(200, r->status);
+    EXPECT_NE(std::string::npos, r->body.find("\"baton\":12"));
+  }
+  EXPECT_EQ(150U, t.leader.ctx.scheduler->machines().size());
+}
+
+// It must never say 200 of its own: such an answer would keep the worker while its lease runs out.
+TEST(relay_service, without_a_leader_that_takes_them_workers_are_sent_on) {
+  Two t;
+  t.other.ctx.leader = "lead";  // it does not lead any more: the other learns that only from its answers
+  EXPECT_EQ(421, t.answer_of(Two::report(1, 1, 0)).status);
+  t.leader.lead(12);
+  t.leader.refuses = true;  // reports; a link that is up and a node that says no
+  const auto r = t.answer_of(Two::report(1, 2, 0));
+  EXPECT_EQ(421, r.status);
+  EXPECT_NE(std::string::npos, r.body.find("lead")) << "the worker may get through where this node does not";
+  EXPECT_GE(t.other.ctx.turned_away.stranded(t.loop.now()), 1U);
+}
+
+TEST(relay_service, an_older_leaders_workers_are_redirected_at_once) {
+  Two t;
+  t.leader.lead(12);
+  t.leader.old_version = true;
+  t.other.ctx.leader = "lead";
+  EXPECT_EQ(421, t.answer_of(Two::report(1, 1, 0)).status);
+  EXPECT_TRUE(t.leader.ctx.scheduler->machines().empty());
+}
+
+TEST(relay_service, a_worker_that_has_seen_a_newer_leader_ends_the_older_one_by_this_way_too) {
+  Two t;
+  t.leader.lead(12);
+  t.other.ctx.leader = "lead";
+  EXPECT_EQ(421, t.answer_of(Two::report(1, 1, 13)).status);
+  EXPECT_EQ(nullptr, t.leader.ctx.scheduler);
+}
+
+}  // namespace
+}  // namespace service
+}  // namespace martenwall
--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 constexpr Duration dt = seconds(0.1);
-constexpr double wire_low = 0.002;
-constexpr double wire_high = 0.03;
+constexpr double hold_s = 2.8;   // how long a node keeps a report that it cannot pass on
+constexpr double retry_s = 1.2;  // until it is passed on again
 }  // namespace
 
 World::World(std::uint64_t seed, Faults faults) : random_(seed), faults_(faults) {
@@ -38,6 +38,7 @@
   for (auto& n : nodes_) n.cut_until = std::min(n.cut_until, now_);
   for (auto& n : nodes_) n.frozen_until = std::min(n.frozen_until, now_);
   for (auto& [id, w] : workers_) w.cut_until = std::min(w.cut_until, now_);
+  link_cut_until_ = std::min(link_cut_until_, now_);
 }
 
 void World::run(double long_s) {
@@ -88,6 +89,7 @@
     if (roll() < faults_.node_freeze * s) freeze(n);
     if (roll() < faults_.state_cut * s) n.cut_until = now_ + seconds(between(2, 60));
   }
+  if (faults_.relays && roll() < faults_.link_cut * s) link_cut_until_ = now_ + seconds(between(1, 40));
   for (auto& [id, w] : workers_) {
     if (roll() < faults_.worker_cut * s) w.cut_until = now_ + seconds(between(2, 60));
     if (roll() < faults_.machine_death * s) {
@@ -392,23 +394,78 @@
     at(n.frozen_until + seconds(wire_low), [this, node, report, no] { receive_report(node, report, no); });
     return;
   }
-  bool ok = false;
-  std::vector<Order> orders;
-  Token token;
-  if (n.scheduler != nullptr && report.token > n.leadership->token()) step_down(n);
-  if (n.scheduler != nullptr && n.leadership->serves_workers(now_) && !n.scheduler->is_gone(report.machine)) {
-    orders = n.scheduler->on_report(report, ReportSource::beat, now_, n.leadership->proven(now_));
-    n.scheduler->answered(report.machine, now_);
-    token = n.leadership->token();
-    ok = true;
+  if (faults_.relays && n.scheduler == nullptr) {
+    Relayed r{node, report, no, now_ + seconds(hold_s)};
+    at(r.until, [this, r] { hand_out(r, {}); });  // by then the worker is told to go elsewhere
+    return relay(r);
   }
+  const Answer a = answer_of(n, report);
   if (faulty_ && roll() < faults_.lost_answer) return;
   const Time back = now_ + seconds(between(wire_low, wire_high));
-  at(back, [this, id = report.machine, no, session = report.session, ok, token, orders] {
-    receive_answer(id, no, session, ok, token, orders);
+  at(back, [this, id = report.machine, no, session = report.session, a] {
+    receive_answer(id, no, session, a.ok, a.token, a.orders);
   });
 }
 
+World::Answer World::answer_of(Node& n, const WorkerReport& report) {
+  Answer a;
+  if (n.scheduler != nullptr && report.token > n.leadership->token()) step_down(n);
+  if (n.scheduler != nullptr && n.leadership->serves_workers(now_) && !n.scheduler->is_gone(report.machine)) {
+    a.orders = n.scheduler->on_report(report, ReportSource::beat, now_, n.leadership->proven(now_));
+    n.scheduler->answered(report.machine, now_);
+    a.token = n.leadership->token();
+    a.ok = true;
+  }
+  return a;
+}
+
+// ---- a node that does not lead passes reports on ----
+
+void World::relay(const Relayed& r) {
+  Node& n = nodes_.at(r.by);
+  if (now_ < n.down_until || now_ >= r.until || handed_out_.contains({r.report.machine, r.no})) return;
+  if (now_ < n.frozen_until) {
+    at(n.frozen_until + seconds(wire_low), [this, r] { relay(r); });
+    return;
+  }
+  if (n.scheduler != nullptr) {
+    // It took over itself meanwhile.
+    const Answer a = answer_of(n, r.report);
+    if (a.ok) return hand_out(r, a);
+  }
+  const int times = faulty_ && roll() < faults_.twice_batch ? 2 : 1;
+  for (int i = 0; i < times && n.scheduler == nullptr; ++i) {
+    if (faulty_ && (now_ < link_cut_until_ || roll() < faults_.lost_batch)) continue;
+    at(now_ + seconds(faulty_ ? link_delay() : wire_low), [this, r] { receive_relayed(r); });
+  }
+  at(now_ + seconds(retry_s), [this, r] { relay(r); });
+}
+
+void World::receive_relayed(const Relayed& r) {
+  Node& n = nodes_.at(1 - r.by);
+  if (now_ < n.down_until) return;
+  if (now_ < n.frozen_until) {
+    at(n.frozen_until + seconds(wire_low), [this, r] { receive_relayed(r); });
+    return;
+  }
+  const Answer a = answer_of(n, r.report);
+  if (!a.ok || (faulty_ && (now_ < link_cut_until_ || roll() < faults_.lost_batch))) return;
+  at(now_ + seconds(faulty_ ? link_delay() : wire_low), [this, r, a] { hand_out(r, a); });
+}
+
+// One answer a report at most. What a frozen node holds is handed out when it wakes, however old it is.
+void World::hand_out(const Relayed& r, const Answer& a) {
+  Node& n = nodes_.at(r.by);
+  if (now_ < n.down_until) return;
+  if (now_ < n.frozen_until) {
+    at(n.frozen_until + seconds(wire_low), [this, r, a] { hand_out(r, a); });
+    return;
+  }
+  if (!handed_out_.emplace(r.report.machine, r.no).second) return;
+  if (a.ok) ++relayed_;
+  receive_answer(r.report.machine, r.no, r.report.session, a.ok, a.token, a.orders);
+}
+
 void World::receive_answer(const MachineId& id, std::uint64_t no, Session session, bool ok, Token token,
                            const std::vector<Order>& orders) {
   const auto it = workers_.find(id);
--- a/tests/simulation.hpp
+++ b/tests/simulation.hpp
@@ -30,8 +30,16 @@
   double limit_fall = 0.004;  // chance a second that the store takes only smaller rows, and fewer at a time
   double late_note = 0.3;     // share of jobs accepted at another node, of which the leader hears later
   bool gate_from_start = false;
+  bool relays = false;        // a node that does not lead passes reports on to the other
+  double link_cut = 0.02;     // chance a second that this fails for a while
+  double lost_batch = 0.04;   // on either way
+  double twice_batch = 0.05;  // share of reports that the link repeats
+  double slow_batch = 0.05;   // share that takes seconds
 };
 
+constexpr double wire_low = 0.002;
+constexpr double wire_high = 0.03;
+
 class World {
  public:
   World(std::uint64_t seed, Faults faults);
@@ -44,6 +52,7 @@
   [[nodiscard]] std::size_t freezes() const { return freezes_; }
   [[nodiscard]] std::size_t refused() const { return refused_; }    // transactions beyond the store's limits
   [[nodiscard]] std::size_t divided() const { return divided_; }    // rows
+  [[nodiscard]] std::size_t relayed() const { return relayed_; }    // answers that another node handed out
   [[nodiscard]] std::size_t cascaded() const { return cascaded_; }  // jobs that others' cancellations took along
   std::function<void(const std::string&)> trace;
 
@@ -109,6 +118,22 @@
   void step_worker(Worker& w);
   void send_report(Worker& w);
   void receive_report(std::size_t node, const WorkerReport& report, std::uint64_t report_no);
+  struct Relayed {
+    std::size_t by = 0;  // the node that the worker reported to
+    WorkerReport report;
+    std::uint64_t no = 0;
+    Time until{};
+  };
+  struct Answer {
+    bool ok = false;
+    Token token;
+    std::vector<Order> orders;
+  };
+  Answer answer_of(Node& n, const WorkerReport& report);
+  void relay(const Relayed& r);
+  void receive_relayed(const Relayed& r);
+  void hand_out(const Relayed& r, const Answer& answer);
+  [[nodiscard]] double link_delay() { return roll() < faults_.slow_batch ? between(0.3, 6) : between(wire_low, 0.05); }
   void receive_answer(const MachineId& id, std::uint64_t no, Session session, bool ok, Token token,
                       const std::vector<Order>& orders);
   void execute(Worker& w, const std::vector<Order>& orders);
@@ -154,6 +179,9 @@
   std::set<std::string> hire_names_;
   std::vector<std::string> breaches_;
   std::set<JobId> cancel_asked_;
+  Time link_cut_until_{};                                     // between the nodes
+  std::set<std::pair<MachineId, std::uint64_t>> handed_out_;  // reports whose workers were answered by a relaying node
+  std::size_t relayed_ = 0;
   std::size_t started_ = 0, takeovers_ = 0, freezes_ = 0, refused_ = 0, divided_ = 0, cascaded_ = 0;
 };
 
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -49,6 +49,35 @@
   play(seed, f, 900);
 }
 
+// Reports go through whichever node they reach, late, twice, out of order, and by way of nodes that stand still.
+RC_GTEST_PROP(simulation, keeps_every_rule_while_any_node_takes_reports, (std::uint64_t seed)) {
+  sim::Faults f;
+  f.relays = true;
+  f.node_crash = 0.01;
+  f.node_freeze = 0.02;
+  f.state_cut = 0.02;
+  f.held_command = 0.3;
+  play(seed, f, 900);
+}
+
+RC_GTEST_PROP(simulation, keeps_every_rule_with_a_bad_link_between_nodes, (std::uint64_t seed)) {
+  sim::Faults f;
+  f.relays = true;
+  f.link_cut = 0.06;
+  f.slow_batch = 0.3;
+  f.twice_batch = 0.3;
+  f.worker_cut = 0.02;
+  play(seed, f, 900);
+}
+
+TEST(simulation, nodes_that_do_not_lead_hand_out_answers) {
+  sim::Faults f;
+  f.relays = true;
+  sim::World world{7, f};
+  world.run(350);
+  EXPECT_GT(world.relayed(), 50U) << "else the properties above would show nothing of it";
+}
+
 // Rows by number give way to rows that name their runs, and the store takes less and less, while leaders change.
 RC_GTEST_PROP(simulation, keeps_every_rule_while_rows_are_divided, (std::uint64_t seed)) {
   sim::Faults f;
