--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 HttpServer::HttpServer(Loop& loop, const Endpoint& at, Bounds bounds, Handler handler)
-    : loop_(loop), listener_(loop, at), bounds_(bounds), handler_(std::move(handler)) {}
+    : loop_(loop), listener_(loop, at), bounds_(std::move(bounds)), handler_(std::move(handler)) {}
 
 Task<void> HttpServer::serve() {
   for (;;) {
--- a/src/wire/report_codec.cpp
+++ b/src/wire/report_codec.cpp
@@ -46,7 +46,8 @@
           std::move(tasks)};
 }
 
-std::optional<WorkerReport> from_tuple(ReportTuple t) {
+// Takes the texts out of it.
+std::optional<WorkerReport> from_tuple(ReportTuple& t) {
   auto& [machine, addr, type, zone, spot, session, tick, token, notice_s, tasks] = t;
   if (machine.empty() || machine.size() > 150 || !std::isfinite(notice_s)) return std::nullopt;
   WorkerReport r;
@@ -81,7 +82,7 @@
   return {static_cast<std::uint8_t>(a.kind), std::move(orders)};
 }
 
-std::optional<ReportAnswer> from_tuple(AnswerTuple t) {
+std::optional<ReportAnswer> from_tuple(AnswerTuple& t) {
   auto& [kind, orders] = t;
   if (kind > static_cast<std::uint8_t>(ReportAnswer::Kind::later)) return std::nullopt;
   ReportAnswer a{static_cast<ReportAnswer::Kind>(kind), {}};
@@ -148,7 +149,7 @@
   if (!t) return std::nullopt;
   ReportBatch out{from_tuple(std::move(std::get<0>(*t))), {}};
   for (auto& r : std::get<1>(*t)) {
-    auto report = from_tuple(std::move(r));
+    auto report = from_tuple(r);
     if (!report) return std::nullopt;
     out.reports.push_back(std::move(*report));
   }
@@ -160,7 +161,7 @@
   if (!t) return std::nullopt;
   ReportAnswers out{Token{std::get<0>(*t)}, {}, {}};
   for (auto& a : std::get<1>(*t)) {
-    auto answer = from_tuple(std::move(a));
+    auto answer = from_tuple(a);
     if (!answer) return std::nullopt;
     out.answers.push_back(std::move(*answer));
   }
