Rounds at size: kinds of machines looked up once, gangs off a heap, bounded evictions

What a round cost grew faster than the fleet: types and zones compared by name for each cell, all columns sorted for each gang, every prospect walked for each demand, every job looked up for each placement, 48 tries over all machines.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <set>
+
+#include "core/heuristics.hpp"
 
 namespace martenwall {
 
@@ -20,10 +23,18 @@
 
 class Planner {
  public:
-  explicit Planner(const FleetView& view) : view_(view), per_zone_(view.per_zone), pool_(view.prospects) {}
+  Planner(const FleetView& view, const std::vector<Demand>& demands)
+      : view_(view), per_zone_(view.per_zone), pool_(view.prospects) {
+    for (const auto& d : demands) {
+      const auto& n = d.spec->need;
+      least_ = {std::min(least_.cpus, n.cpus), std::min(least_.gpus, n.gpus), std::min(least_.memory_gb, n.memory_gb)};
+    }
+    for (std::size_t i = 0; i < pool_.size(); ++i) enter(i);
+  }
 
   void serve(const Demand& d) {
     d.job->room_at.reset();
+    allowed_ = allowed_kinds(*d.spec, kinds_);
     if (d.spec->shape == Shape::gang && d.spec->one_zone && d.zone.empty()) return serve_in_one_zone(d);
     serve_in(d, d.zone);
   }
@@ -47,14 +58,18 @@
   void serve_in(const Demand& d, const std::string& zone) {
     std::uint32_t left = d.count;
     Time ready = view_.now;
-    for (auto& v : pool_) {
+    std::size_t exhausted = 0;
+    for (const auto i : open_) {
       if (left == 0) break;
-      if (!allows(*d.spec, v, zone) || (d.spot_only && !v.spot)) continue;
+      auto& v = pool_[i];
+      if (!allows(*d.spec, i, zone) || (d.spot_only && !v.spot)) continue;
       const auto n = fill(*d.spec, v, left);
       if (n > 0) ready = std::max(ready, v.ready);
       if (n > 0 && v.idle != nullptr) v.idle->wanted_until = view_.now + kept_for_a_job;
+      if (n > 0 && !least_.fits_in(v.room)) ++exhausted;
       left -= n;
     }
+    if (exhausted > 0) std::erase_if(open_, [&](std::size_t i) { return !least_.fits_in(pool_[i].room); });
     while (left > 0) {
       const auto offer = best_offer(*d.spec, zone, d.spot_only);
       if (!offer) return;
@@ -63,6 +78,7 @@
       ready = std::max(ready, up);
       pool_.push_back({offer->type, offer->zone, offer->spot, offer->type->room, up, true});
       const auto placed = fill(*d.spec, pool_.back(), left);
+      enter(pool_.size() - 1);
       if (placed == 0) return;
       left -= placed;
     }
@@ -77,8 +93,9 @@
     std::pair<std::uint32_t, double> best_cost;
     for (const auto& zone : zones) {
       std::uint32_t there = 0;
-      for (const auto& v : pool_) {
-        if (there < d.count && allows(*d.spec, v, zone) && d.spec->need.fits_in(v.room)) ++there;
+      for (const auto i : open_) {
+        if (there == d.count) break;
+        if (allows(*d.spec, i, zone) && d.spec->need.fits_in(pool_[i].room)) ++there;
       }
       const auto offer = best_offer(*d.spec, zone, d.spot_only);
       if (!offer && there < d.count) continue;
@@ -91,8 +108,16 @@
     if (best != nullptr) serve_in(d, *best);
   }
 
-  static bool allows(const JobSpec& spec, const Prospect& v, const std::string& zone) {
-    return (zone.empty() || v.zone == zone) && place_allows(spec, v.zone, v.spot) && type_allows(spec, *v.type);
+  // Of a demand that is being served: what it allows was looked up for all kinds that were there.
+  bool allows(const JobSpec& spec, std::size_t i, const std::string& zone) {
+    const auto kind = kind_[i];
+    if (kind >= allowed_.size()) allowed_ = allowed_kinds(spec, kinds_);
+    return allowed_[kind] != 0 && (zone.empty() || kinds_[kind].zone == zone);
+  }
+  void enter(std::size_t i) {
+    const auto& v = pool_[i];
+    kind_.push_back(kind_of(kinds_, *v.type, v.zone, v.spot));
+    if (least_.fits_in(v.room)) open_.push_back(i);
   }
   static std::uint32_t fill(const JobSpec& spec, Prospect& v, std::uint32_t most) {
     std::uint32_t n = 0;
@@ -124,6 +149,11 @@
   const FleetView& view_;
   std::map<std::string, std::uint32_t> per_zone_;
   std::vector<Prospect> pool_;
+  std::vector<MachineKind> kinds_;
+  std::vector<std::size_t> kind_;  // of each in the pool
+  std::vector<std::size_t> open_;  // those in the pool with room for the smallest need of all, in its order
+  std::vector<char> allowed_;      // by kind, for the demand that is being served
+  Resources least_{1e18, 1e18, 1e18};
 };
 
 }  // namespace
@@ -151,7 +181,7 @@
 }
 
 std::vector<HireRequest> plan_hires(const FleetView& view, const std::vector<Demand>& demands) {
-  Planner planner{view};
+  Planner planner{view, demands};
   for (const auto& d : demands) planner.serve(d);
   return planner.requests();
 }
--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -1,7 +1,6 @@
 #include "core/heuristics.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace martenwall {
 
@@ -14,6 +13,26 @@
   return (!spec.zone || *spec.zone == zone) && (spec.spot || !spot);
 }
 
+std::size_t kind_of(std::vector<MachineKind>& kinds, const MachineType& type, const std::string& zone, bool spot) {
+  for (std::size_t k = 0; k < kinds.size(); ++k) {
+    if (kinds[k].type == &type && kinds[k].spot == spot && kinds[k].zone == zone) return k;
+  }
+  kinds.push_back({&type, zone, spot});
+  return kinds.size() - 1;
+}
+
+std::vector<char> allowed_kinds(const JobSpec& spec, const std::vector<MachineKind>& kinds) {
+  std::vector<char> out;
+  out.reserve(kinds.size());
+  for (const auto& k : kinds) out.push_back(type_allows(spec, *k.type) && place_allows(spec, k.zone, k.spot) ? 1 : 0);
+  return out;
+}
+
+void Board::add(Column column) {
+  column.kind = kind_of(kinds, *column.type, column.machine->zone, column.machine->spot);
+  columns.push_back(column);
+}
+
 double deadline_curve(const Policy& p, double extime_s, double deadline_s, double nxtime_s) {
   const double start = deadline_s - p.deadline_k * nxtime_s;
   if (extime_s <= start || extime_s > deadline_s || deadline_s <= start) return p.deadline_min;
@@ -54,19 +73,16 @@
 void minimal_requirements(const Board& board, Matrix& m) {
   for (std::size_t r = 0; r < board.rows.size(); ++r) {
     const auto& job = *board.rows[r].job;
-    // Mostly all columns are of one type: what holds for it is looked up once.
-    const MachineType* type = nullptr;
-    bool type_fits = false;
+    const auto allowed = allowed_kinds(job.spec, board.kinds);
     for (std::size_t c = 0; c < board.columns.size(); ++c) {
       const auto& col = board.columns[c];
       if (job.rank < col.held_for || !job.spec.need.fits_in(col.free)) continue;
-      if (std::exchange(type, col.type) != col.type) type_fits = type_allows(job.spec, *col.type);
-      if (!type_fits || !place_allows(job.spec, col.machine->zone, col.machine->spot)) continue;
+      if (allowed[col.kind] == 0) continue;
       if (board.rows[r].spot_only && !col.machine->spot) continue;
       const bool reserved = col.machine->reserved_for && *col.machine->reserved_for != job.spec.id &&
                             board.now < col.machine->reserved_until;
       // A task is not sent back to where it failed, unless it fails wherever it goes.
-      const bool failed_here = !job.suspect && job.failed_on.contains(col.machine->id);
+      const bool failed_here = !job.suspect && !job.failed_on.empty() && job.failed_on.contains(col.machine->id);
       if (!reserved && !failed_here) m.allow(r, c);
     }
   }
@@ -124,16 +140,18 @@
 }
 
 void packing(const Board& board, Matrix& m) {
+  std::vector<double> worth;
+  worth.reserve(board.columns.size());
+  for (const auto& col : board.columns) {
+    const double cpu = col.type->room.cpus > 0 ? col.free.cpus / col.type->room.cpus : 0;
+    const double gpu = col.type->room.gpus > 0 ? col.free.gpus / col.type->room.gpus : cpu;
+    // Of empty machines those that idle shortest: the others are then idle for good and can go back.
+    const double idle_s = col.machine->empty() ? to_seconds(board.now - col.machine->idle_since) : 0;
+    const double recent = col.machine->empty() ? 0.2 / (1 + std::max(0.0, idle_s) / 10) : 0.0;
+    worth.push_back(board.policy.packing_weight * (1 - std::min(cpu, gpu) + recent));
+  }
   for (std::size_t r = 0; r < board.rows.size(); ++r) {
-    for_allowed(board, m, r, [&](std::size_t c) {
-      const auto& col = board.columns[c];
-      const double cpu = col.type->room.cpus > 0 ? col.free.cpus / col.type->room.cpus : 0;
-      const double gpu = col.type->room.gpus > 0 ? col.free.gpus / col.type->room.gpus : cpu;
-      // Of empty machines those that idle shortest: the others are then idle for good and can go back.
-      const double idle_s = col.machine->empty() ? to_seconds(board.now - col.machine->idle_since) : 0;
-      const double recent = col.machine->empty() ? 0.2 / (1 + std::max(0.0, idle_s) / 10) : 0.0;
-      m.at(r, c) += board.policy.packing_weight * (1 - std::min(cpu, gpu) + recent);
-    });
+    for_allowed(board, m, r, [&](std::size_t c) { m.at(r, c) += worth[c]; });
   }
 }
 
@@ -159,15 +177,17 @@
 std::map<std::string, std::vector<std::size_t>> gatherable(const Board& board, const Row& row,
                                                            const std::vector<Resources>& room) {
   const auto& job = *row.job;
+  const auto allowed = allowed_kinds(job.spec, board.kinds);
   std::map<std::string, std::vector<std::size_t>> by_zone;
+  std::vector<std::vector<std::size_t>*> group(board.kinds.size(), nullptr);
   for (std::size_t c = 0; c < board.columns.size(); ++c) {
-    const auto& m = *board.columns[c].machine;
-    const bool reserved = m.reserved_for && *m.reserved_for != job.spec.id;
-    if (reserved || !job.spec.need.fits_in(room[c]) || !place_allows(job.spec, m.zone, m.spot) ||
-        !type_allows(job.spec, *board.columns[c].type)) {
-      continue;
-    }
-    by_zone[job.spec.one_zone ? m.zone : std::string{}].push_back(c);
+    const auto& col = board.columns[c];
+    if (allowed[col.kind] == 0 || !job.spec.need.fits_in(room[c])) continue;
+    const auto& m = *col.machine;
+    if (m.reserved_for && *m.reserved_for != job.spec.id) continue;
+    auto& columns = group[col.kind];
+    if (columns == nullptr) columns = &by_zone[job.spec.one_zone ? m.zone : std::string{}];
+    columns->push_back(c);
   }
   for (auto& [zone, columns] : by_zone) {
     const auto cold = std::stable_partition(columns.begin(), columns.end(),
--- a/src/core/heuristics.hpp
+++ b/src/core/heuristics.hpp
@@ -27,8 +27,20 @@
   Resources free;
   std::size_t slots = 0;              // further tasks that one machine may hold
   Rank held_for = Rank::best_effort;  // a gang of this rank gathers the machine: lower ranks keep off
+  std::size_t kind = 0;               // of `Board::kinds`
 };
 
+// Machines of one type in one zone, spot or not: what a job demands of its place is looked up once for all of them.
+struct MachineKind {
+  const MachineType* type = nullptr;
+  std::string zone;
+  bool spot = false;
+};
+// The index of the kind, which is added where it is new. There are few: types times zones times two.
+std::size_t kind_of(std::vector<MachineKind>& kinds, const MachineType& type, const std::string& zone, bool spot);
+// For each kind: may a task of the job run there?
+std::vector<char> allowed_kinds(const JobSpec& spec, const std::vector<MachineKind>& kinds);
+
 class Matrix {
  public:
   Matrix(std::size_t rows, std::size_t columns)
@@ -48,8 +60,10 @@
   Time now{};
   const Policy& policy;
   std::vector<Row> rows;
-  std::vector<Column> columns;
+  std::vector<Column> columns;  // by `add`
+  std::vector<MachineKind> kinds{};
   std::set<JobId> guaranteed{};  // unfinished jobs within their team's guarantee, running ones too
+  void add(Column column);
 };
 
 // May a task of this job ever run on such a machine?
--- a/src/core/matcher.cpp
+++ b/src/core/matcher.cpp
@@ -67,7 +67,7 @@
     }
     if (board_.rows[head.row].count == 0) continue;
     auto& columns = order[head.row];
-    if (columns.empty()) columns = falling_columns(head.row, nullptr);
+    if (columns.empty()) columns = falling_columns(head.row);
     if (++next[head.row] >= columns.size()) continue;
     const auto c = columns[next[head.row]];
     heads.push({matrix_.at(head.row, c), head.row, c});
@@ -83,13 +83,18 @@
   return best;
 }
 
-std::vector<std::size_t> Matcher::falling_columns(std::size_t row, const std::string* only_zone) const {
+std::vector<std::size_t> Matcher::allowed_columns(std::size_t row, const std::string* only_zone) const {
+  std::vector<char> in_zone;
+  for (const auto& k : board_.kinds) in_zone.push_back(only_zone == nullptr || k.zone == *only_zone ? 1 : 0);
   std::vector<std::size_t> out;
   for (std::size_t c = 0; c < board_.columns.size(); ++c) {
-    if (matrix_.allowed(row, c) && (only_zone == nullptr || board_.columns[c].machine->zone == *only_zone)) {
-      out.push_back(c);
-    }
+    if (matrix_.allowed(row, c) && in_zone[board_.columns[c].kind] != 0) out.push_back(c);
   }
+  return out;
+}
+
+std::vector<std::size_t> Matcher::falling_columns(std::size_t row) const {
+  auto out = allowed_columns(row, nullptr);
   std::ranges::stable_sort(out, [&](auto a, auto b) { return matrix_.at(row, a) > matrix_.at(row, b); });
   return out;
 }
@@ -131,8 +136,18 @@
   const auto& job = *board_.rows[row].job;
   const auto& spec = job.spec;
   ZoneCounts counts;
-  for (const auto c : falling_columns(row, only_zone)) {
-    if (out.size() == spec.tasks) break;
+  // A gang takes a few of many: they are picked off a heap, in the order in which sorting would put them.
+  auto left = allowed_columns(row, only_zone);
+  const auto later = [&](std::size_t a, std::size_t b) {
+    const double va = matrix_.at(row, a);
+    const double vb = matrix_.at(row, b);
+    return va != vb ? va < vb : a > b;
+  };
+  std::ranges::make_heap(left, later);
+  while (!left.empty() && out.size() < spec.tasks) {
+    std::ranges::pop_heap(left, later);
+    const auto c = left.back();
+    left.pop_back();
     if (cached && board_.columns[c].machine->has_image(job.image) != *cached) continue;
     auto room = board_.columns[c].free;
     const auto& zone = board_.columns[c].machine->zone;
@@ -154,7 +169,7 @@
     if (!pick_gang_columns(row, nullptr, best)) return false;
   } else {
     std::set<std::string> zones;
-    for (const auto& c : board_.columns) zones.insert(c.machine->zone);
+    for (const auto& k : board_.kinds) zones.insert(k.zone);
     double best_value = 0;
     for (const auto& zone : zones) {
       std::vector<std::size_t> some;
--- a/src/core/matcher.hpp
+++ b/src/core/matcher.hpp
@@ -31,7 +31,8 @@
   bool pick_gang_columns(std::size_t row, const std::string* only_zone, std::optional<bool> cached,
                          std::vector<std::size_t>& out);
   [[nodiscard]] std::optional<std::size_t> best_column(std::size_t row) const;
-  [[nodiscard]] std::vector<std::size_t> falling_columns(std::size_t row, const std::string* only_zone) const;
+  [[nodiscard]] std::vector<std::size_t> allowed_columns(std::size_t row, const std::string* only_zone) const;
+  [[nodiscard]] std::vector<std::size_t> falling_columns(std::size_t row) const;
   void take(std::size_t row, std::size_t column);
 
   Board& board_;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -10,7 +10,7 @@
   const auto& spec = row.job->spec;
   const auto& p = *victim.placement;
   const auto rank = row.job->rank;
-  if (p.rank != rank) return p.rank < rank && !p.stray && p.task.job != spec.id;
+  if (p.rank != rank) return p.rank < rank && !p.stray && victim.job != row.job;
   return row.within_guarantee && victim.team_over && !victim.guaranteed && !p.stray && p.team != spec.team;
 }
 
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -17,9 +17,10 @@
 // Something on a machine that might be stopped. Looked up once a round, since many rows ask.
 struct Victim {
   const Placement* placement = nullptr;
-  bool guaranteed = false;  // of a job within its team's guarantee
-  bool team_over = false;   // its team uses more than its guarantee
-  double lost = 0;          // GPU-seconds of work lost with it
+  const Job* job = nullptr;  // nothing where it is not known any more
+  bool guaranteed = false;   // of a job within its team's guarantee
+  bool team_over = false;    // its team uses more than its guarantee
+  double lost = 0;           // GPU-seconds of work lost with it
 };
 
 struct VictimMachine {
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cmath>
 #include <functional>
+#include <unordered_map>
 #include <utility>
 
 #include "core/matcher.hpp"
@@ -17,6 +18,8 @@
 constexpr std::uint32_t max_window = 4000;  // indices between an array's lowest unfinished task and its last started
 constexpr std::size_t max_evictions = 24;   // per round
 constexpr std::size_t max_eviction_tries = 48;
+constexpr std::size_t max_machines_tried =
+    150'000;  // machines looked at in all tries of a round; others wait for the next
 constexpr Duration eviction_retry = seconds(0.2);
 constexpr Duration fleet_every = seconds(0.5);
 constexpr double least_eviction_s = 4;  // saving, stopping and starting anew take at least so long
@@ -126,7 +129,7 @@
     Resources free = type->room;
     free.add(m.used, -1);
     if (!least.fits_in(free)) continue;
-    board.columns.push_back({&m, type, free, setup_.max_tasks_per_machine - m.placements.size(), Rank::best_effort});
+    board.add({&m, type, free, setup_.max_tasks_per_machine - m.placements.size(), Rank::best_effort});
   }
   const auto rows = std::max(min_rows, max_cells / std::max<std::size_t>(1, board.columns.size()));
   // The others' turn comes in the next round.
@@ -212,6 +215,12 @@
   VictimTable table;
   std::map<std::string, bool> over;
   for (const auto& [name, team] : teams_) over[name] = used_.over_guarantee(name);
+  // Many placements are of few jobs: each is looked up once.
+  struct Known {
+    const Job* job = nullptr;
+    bool guaranteed = false;
+  };
+  std::unordered_map<JobId, Known> known;
   for (auto& [id, m] : machines_) {
     const auto* type = type_of(m.type);
     if (type == nullptr || !usable(m, now)) continue;
@@ -223,8 +232,10 @@
         v.room.add(p.need);  // room that is being freed already comes without another victim
         continue;
       }
-      const auto* job = find_job(p.task.job);
-      v.victims.push_back({&p, board.guaranteed.contains(p.task.job), over[p.team],
+      const auto [it, fresh] = known.try_emplace(p.task.job);
+      if (fresh) it->second = {find_job(p.task.job), board.guaranteed.contains(p.task.job)};
+      const auto& [job, guaranteed] = it->second;
+      v.victims.push_back({&p, job, guaranteed, over[p.team],
                            lost_work_s(job != nullptr && !job->ghost ? &job->spec : nullptr, p, now)});
     }
     std::ranges::stable_sort(v.victims, {}, &Victim::lost);
@@ -251,6 +262,7 @@
     if (!table) {
       table = victims(board, now);
       for (const auto& m : *table) work_.victims += m.victims.size();
+      tries = std::min(tries, std::max<std::size_t>(4, max_machines_tried / std::max<std::size_t>(1, table->size())));
     }
     --tries;
     const auto plan = plan_eviction(*table, row, wanted);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -104,8 +104,8 @@
     early.spec.deadline_s = 1000;
     late.spec.deadline_s = 210;  // Extime is 200: nearly late
     for (auto* j : {&early, &late}) j->set_own_urgency();
-    board.columns.push_back({&one, &type, type.room, 10, Rank::best_effort});
-    board.columns.push_back({&two, &type, type.room, 10, Rank::best_effort});
+    board.add({&one, &type, type.room, 10, Rank::best_effort});
+    board.add({&two, &type, type.room, 10, Rank::best_effort});
   }
 };
 
--- a/tests/matcher_test.cpp
+++ b/tests/matcher_test.cpp
@@ -49,7 +49,7 @@
     if (*rc::gen::arbitrary<bool>()) m.touch_image(ImageId{0}, 4, 50);
     Resources free = type.room;
     free.gpus = *rc::gen::inRange(0, 9);
-    board.columns.push_back({&m, &type, free, static_cast<std::size_t>(*rc::gen::inRange(1, 5)), Rank::best_effort});
+    board.add({&m, &type, free, static_cast<std::size_t>(*rc::gen::inRange(1, 5)), Rank::best_effort});
   }
 };
 
