--- a/src/core/matcher.cpp
+++ b/src/core/matcher.cpp
@@ -68,9 +68,11 @@
     if (board_.rows[head.row].count == 0) continue;
     auto& columns = order[head.row];
     if (columns.empty()) columns = falling_columns(head.row);
-    if (++next[head.row] >= columns.size()) continue;
-    const auto c = columns[next[head.row]];
-    heads.push({matrix_.at(head.row, c), head.row, c});
+    // Room, slots, limits and zones only shrink within a round: what can take nothing now never will.
+    auto& n = next[head.row];
+    ++n;
+    while (n < columns.size() && !can_take(head.row, columns[n])) ++n;
+    if (n < columns.size()) heads.push({matrix_.at(head.row, columns[n]), head.row, columns[n]});
   }
   return std::move(matches_);
 }
@@ -109,15 +111,17 @@
   --r.count;
 }
 
-bool Matcher::place_one(std::size_t row, std::size_t column) {
+bool Matcher::can_take(std::size_t row, std::size_t column) const {
   const auto& r = board_.rows[row];
   const auto& spec = r.job->spec;
   const auto& c = board_.columns[column];
   // Team limits clear the entry.
-  if (r.count == 0 || c.slots == 0 || !spec.need.fits_in(c.free) || ledger_.room_for(spec.team, spec.need) == 0 ||
-      !zone_allows(spec, zones_[row], c.machine->zone)) {
-    return false;
-  }
+  return r.count > 0 && c.slots > 0 && spec.need.fits_in(c.free) && ledger_.room_for(spec.team, spec.need) > 0 &&
+         zone_allows(spec, zones_[row], c.machine->zone);
+}
+
+bool Matcher::place_one(std::size_t row, std::size_t column) {
+  if (!can_take(row, column)) return false;
   take(row, column);
   matches_.push_back({row, {column}});
   return true;
--- a/src/core/matcher.hpp
+++ b/src/core/matcher.hpp
@@ -25,6 +25,7 @@
   std::vector<Match> run();
 
  private:
+  [[nodiscard]] bool can_take(std::size_t row, std::size_t column) const;
   bool place_one(std::size_t row, std::size_t column);
   bool place_gang(std::size_t row);
   bool pick_gang_columns(std::size_t row, const std::string* only_zone, std::vector<std::size_t>& out);
