--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -172,6 +172,7 @@
           {"fleet.capacity.retry.seconds", duration(p.capacity_retry)},
           {"fleet.guest.patience.seconds", duration(p.guest_patience)},
           {"fleet.guest.patience.without.spot.seconds", duration(p.guest_patience_without_spot)},
+          {"metrics.port", count(p.metrics_port)},
           {"workers.relay", [&p](double v) { p.relay_reports = v != 0; }},
           {"workers.relay.leader.weight", number(p.relay_leader_weight)},
           {"leader.lease.seconds", duration(p.lease_ttl)},
@@ -207,6 +208,7 @@
     throw SettingsError("properties: 'leader.renew.seconds' must be at most half of 'leader.lease.seconds'");
   }
   if (policy.round < seconds(0.05)) throw SettingsError("properties: 'scheduler.round.seconds' must be at least 0.05");
+  if (policy.metrics_port > 65535) throw SettingsError("properties: 'metrics.port' must be at most 65535");
   if (policy.suspect_machines < 1) throw SettingsError("properties: 'scheduler.suspect.machines' must be at least 1");
   const auto& w = settings.workers;
   if (w.cancel_s <= w.lease_s + to_seconds(policy.lease_ttl + policy.margin) + 1) {
--- a/src/core/policy.cpp
+++ b/src/core/policy.cpp
@@ -30,6 +30,7 @@
       suspect_machines(3),
       relay_reports(false),
       relay_leader_weight(0.5),
+      metrics_port(0),
       lease_ttl(seconds(2)),
       renew_every(seconds(0.5)),
       margin(seconds(1)) {}
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -41,6 +41,7 @@
   // Workers
   bool relay_reports;          // followers take workers' reports and pass them on
   double relay_leader_weight;  // part of a follower's share of the workers that report to the leader itself
+  int metrics_port;            // of a listener on loopback that serves /metrics; 0: none
   // Leadership
   Duration lease_ttl;
   Duration renew_every;
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -109,6 +109,7 @@
            (spare && writes_.ready(Urgency::spare, now));
   }
 
+  [[nodiscard]] WriteQueue::Backlog backlog(Urgency urgency, Time now) const { return writes_.backlog(urgency, now); }
   [[nodiscard]] const std::map<MachineId, Machine>& machines() const { return machines_; }
   [[nodiscard]] const std::map<JobId, Job>& jobs() const { return jobs_; }
   [[nodiscard]] const Ledger& ledger() const { return used_; }
--- /dev/null
+++ b/src/metrics/metrics.cpp
@@ -0,0 +1,131 @@
+#include "metrics/metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <sstream>
+#include <utility>
+
+namespace martenwall::metrics {
+
+namespace {
+
+// From half a millisecond, a round of a small fleet, to what makes workers give up.
+prometheus::Histogram::BucketBoundaries bounds() {
+  return {0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
+}
+
+constexpr std::array<const char*, report_ways> way_names{"here", "relayed", "by_others", "sent_on", "refused"};
+constexpr std::array<const char*, 3> urgency_names{"awaited", "borrowed", "spare"};
+
+prometheus::Histogram& histogram(prometheus::Registry& r, const char* name, const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(r).Add({}, bounds());
+}
+
+}  // namespace
+
+void Timing::observe(Duration d) {
+  histogram_.Observe(to_seconds(d));
+  ++count_;
+  sum_ += d;
+  longest_ = std::max(longest_, d);
+}
+
+Timing::Minute Timing::take_minute() {
+  Minute m{count_, count_ > 0 ? to_seconds(sum_) * 1000 / static_cast<double>(count_) : 0, to_seconds(longest_) * 1000};
+  count_ = 0;
+  sum_ = longest_ = Duration{0};
+  return m;
+}
+
+prometheus::Gauge& Metrics::gauge(const char* name, const char* help, const prometheus::Labels& labels) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(*registry_).Add(labels);
+}
+
+Metrics::Metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      rounds(histogram(*registry_, "martenwall_round_seconds", "Time of a scheduling round.")),
+      store_writes(histogram(*registry_, "martenwall_store_write_seconds",
+                             "From a transaction's turn to its answer, tries that failed included.")),
+      reports(histogram(*registry_, "martenwall_report_seconds", "From a worker's report to its answer at this node.")),
+      takeovers_(prometheus::BuildCounter()
+                     .Name("martenwall_takeovers_total")
+                     .Help("Times that this node began to lead.")
+                     .Register(*registry_)
+                     .Add({})),
+      leads_(gauge("martenwall_leads", "1 while this node leads.")),
+      connections_(gauge("martenwall_connections", "Open connections of users and workers.")),
+      worker_connections_(gauge("martenwall_worker_connections", "Of these, workers'.")),
+      worker_room_(gauge("martenwall_worker_room", "Workers' connections that this node would hold.")),
+      machines_(gauge("martenwall_machines", "Machines that the leader knows.")),
+      jobs_(gauge("martenwall_jobs", "Jobs that the leader knows and that are not over.")),
+      memory_(gauge("process_resident_memory_bytes", "Memory that this process holds.")),
+      used_(gauge("martenwall_state_rate_used", "Part of this node's share of the state service's rate, 0 to 1.")) {
+  auto& family = prometheus::BuildCounter()
+                     .Name("martenwall_reports_total")
+                     .Help("Workers' reports: answered here, passed on, taken from other nodes, sent on, refused.")
+                     .Register(*registry_);
+  for (std::size_t i = 0; i < report_ways; ++i) reports_by_way_.at(i) = &family.Add({{"way", way_names.at(i)}});
+  for (std::size_t i = 0; i < urgency_names.size(); ++i) {
+    const prometheus::Labels labels{{"urgency", urgency_names.at(i)}};
+    queue_rows_.at(i) = &gauge("martenwall_store_queue_rows", "Rows whose time to be written has come.", labels);
+    queue_oldest_.at(i) = &gauge("martenwall_store_queue_oldest_seconds", "For how long the first has waited.", labels);
+  }
+}
+
+void Metrics::count_report(ReportWay way, std::size_t n) {
+  reports_by_way_.at(static_cast<std::size_t>(way))->Increment(static_cast<double>(n));
+  reports_this_minute_.at(static_cast<std::size_t>(way)) += n;
+}
+
+void Metrics::set(const Levels& l) {
+  leads_.Set(l.leads ? 1 : 0);
+  connections_.Set(static_cast<double>(l.connections));
+  worker_connections_.Set(static_cast<double>(l.worker_connections));
+  worker_room_.Set(static_cast<double>(l.worker_room));
+  machines_.Set(static_cast<double>(l.machines));
+  jobs_.Set(static_cast<double>(l.jobs));
+  memory_.Set(static_cast<double>(resident_bytes()));
+  used_.Set(l.state_requests_used);
+  for (std::size_t i = 0; i < l.store_queues.size(); ++i) {
+    queue_rows_.at(i)->Set(static_cast<double>(l.store_queues.at(i).rows));
+    queue_oldest_.at(i)->Set(l.store_queues.at(i).oldest_s);
+  }
+}
+
+std::string Metrics::exposition() const { return prometheus::TextSerializer{}.Serialize(registry_->Collect()); }
+
+std::string Metrics::minute_line(const Levels& l) {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1);
+  const auto tell = [&](const char* what, const Timing::Minute& m) {
+    out << what << " " << m.count << " of " << m.mean_ms << " ms, longest " << m.longest_ms << "; ";
+  };
+  out << (l.leads ? "leads; " : "");
+  tell("rounds", rounds.take_minute());
+  tell("store writes", store_writes.take_minute());
+  tell("reports", reports.take_minute());
+  out << "of them";
+  for (std::size_t i = 0; i < report_ways; ++i) {
+    out << " " << std::exchange(reports_this_minute_.at(i), 0) << " " << way_names.at(i);
+  }
+  out << "; queues";
+  for (const auto& q : l.store_queues) out << " " << q.rows << " (" << q.oldest_s << " s)";
+  out << "; state rate used " << l.state_requests_used << "; connections " << l.connections << ", workers'"
+      << " " << l.worker_connections << " of " << l.worker_room << "; " << l.machines << " machines, " << l.jobs
+      << " jobs; " << static_cast<double>(resident_bytes()) / 1e6 << " MB";
+  return out.str();
+}
+
+std::size_t resident_bytes() {
+  std::ifstream in{"/proc/self/statm"};
+  std::size_t whole = 0;
+  std::size_t resident = 0;
+  if (!(in >> whole >> resident)) return 0;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace martenwall::metrics
--- /dev/null
+++ b/src/metrics/metrics.hpp
@@ -0,0 +1,75 @@
+// What a node measures of itself: Prometheus metrics, and one line a minute for those who read logs.
+#pragma once
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+#include "core/types.hpp"
+
+namespace martenwall::metrics {
+
+// A time that is measured again and again: a histogram since the start, and mean and longest of the last minute.
+class Timing {
+ public:
+  explicit Timing(prometheus::Histogram& histogram) : histogram_(histogram) {}
+  void observe(Duration d);
+  struct Minute {
+    std::size_t count = 0;
+    double mean_ms = 0, longest_ms = 0;
+  };
+  Minute take_minute();  // since it was taken last
+
+ private:
+  prometheus::Histogram& histogram_;
+  std::size_t count_ = 0;
+  Duration sum_{0}, longest_{0};
+};
+
+enum class ReportWay { here, relayed, by_others, sent_on, refused };
+constexpr std::size_t report_ways = 5;
+
+// What stands now; the owner fills it in before it is told.
+struct Levels {
+  bool leads = false;
+  std::size_t connections = 0, worker_connections = 0, worker_room = 0;
+  std::size_t machines = 0, jobs = 0;
+  struct Queue {
+    std::size_t rows = 0;
+    double oldest_s = 0;
+  };
+  std::array<Queue, 3> store_queues{};  // by urgency: awaited, borrowed, spare
+  double state_requests_used = 0;       // part of this node's share of the state service's rate, 0 to 1
+};
+
+class Metrics {
+  std::shared_ptr<prometheus::Registry> registry_;  // before all that is registered with it
+
+ public:
+  Metrics();
+  Timing rounds, store_writes, reports;
+  void count_report(ReportWay way, std::size_t n = 1);
+  void count_takeover() { takeovers_.Increment(); }
+  void set(const Levels& levels);
+  // The text that Prometheus scrapes (exposition format 0.0.4).
+  [[nodiscard]] std::string exposition() const;
+  // "rounds 42, 3.1 ms, longest 8.2 ms; ...": what happened since the line before.
+  std::string minute_line(const Levels& levels);
+
+ private:
+  prometheus::Gauge& gauge(const char* name, const char* help, const prometheus::Labels& labels = {});
+  std::array<prometheus::Counter*, report_ways> reports_by_way_{};
+  std::array<std::size_t, report_ways> reports_this_minute_{};
+  prometheus::Counter& takeovers_;
+  prometheus::Gauge &leads_, &connections_, &worker_connections_, &worker_room_, &machines_, &jobs_, &memory_, &used_;
+  std::array<prometheus::Gauge*, 3> queue_rows_{}, queue_oldest_{};
+};
+
+// Bytes that this process holds in memory; 0 where that cannot be told.
+std::size_t resident_bytes();
+
+}  // namespace martenwall::metrics
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -10,7 +10,7 @@
 
 std::string write_response(const HttpResponse& r, bool close) {
   std::string out = "HTTP/1.1 " + std::to_string(r.status) + " ";
-  out.append(reason_of(r.status)).append("\r\nContent-Type: application/json\r\nContent-Length: ");
+  out.append(reason_of(r.status)).append("\r\nContent-Type: ").append(r.content_type).append("\r\nContent-Length: ");
   out.append(std::to_string(r.body.size()));
   if (r.retry_after_s) out.append("\r\nRetry-After: ").append(std::to_string(*r.retry_after_s));
   if (close) out.append("\r\nConnection: close");
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -14,6 +14,7 @@
   std::string body;
   std::optional<int> retry_after_s;
   bool close = false;
+  std::string content_type{"application/json"};
 };
 
 class HttpServer {
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -11,6 +11,7 @@
 #include "core/leadership.hpp"
 #include "core/reach.hpp"
 #include "core/scheduler.hpp"
+#include "metrics/metrics.hpp"
 #include "runtime/http_client.hpp"
 #include "runtime/loop.hpp"
 #include "service/final_memory.hpp"
@@ -60,6 +61,7 @@
   rt::Event flushed;                       // a generation was committed
   rt::Event leader_changed;
   std::mt19937_64 random;
+  metrics::Metrics metrics;
 
   [[nodiscard]] Time now() const { return loop.now(); }
   // The state service answered lately; followers hear of it every 2 s at least.
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -234,6 +234,7 @@
   ctx_.scheduler->set_types(ctx_.types);
   ctx_.leadership.loaded(ctx_.now());
   ctx_.hearing.began(ctx_.now());
+  ctx_.metrics.count_takeover();
   ctx_.log->info("loaded {} jobs and {} machines in {} s, level {}; {} rows by number are to be divided",
                  rows.jobs.size(), rows.machines.size(), to_seconds(ctx_.now() - acquired), ctx_.level,
                  ctx_.level >= wire::this_level ? ctx_.scheduler->legacy_rows() : 0);
@@ -560,6 +561,7 @@
 // called too large is not applied later either, since limits do not rise; but an earlier try may have been.
 rt::Task<LeaderStore::Commit> LeaderStore::commit(std::uint64_t term, const Chunk& chunk) {
   bool doubtful = false;
+  const Time began = ctx_.now();
   while (ctx_.term == term) {
     std::vector<wire::Condition> when = chunk.when;
     std::vector<wire::StoreOp> then = chunk.then;
@@ -568,6 +570,7 @@
     switch (r.outcome) {
       case TxnOutcome::committed:
         remember(chunk, r.revision);
+        ctx_.metrics.store_writes.observe(ctx_.now() - began);
         co_return Commit::stored;
       case TxnOutcome::conflict:
       case TxnOutcome::no_lease:
--- /dev/null
+++ b/src/service/metrics_service.cpp
@@ -0,0 +1,56 @@
+#include "service/metrics_service.hpp"
+
+namespace martenwall::service {
+
+namespace {
+constexpr Duration line_every = seconds(60);
+constexpr std::size_t scrapers = 8;
+}  // namespace
+
+MetricsService::MetricsService(Context& ctx, StateClient& state, std::function<Connections()> connections)
+    : ctx_(ctx), state_(state), connections_(std::move(connections)) {
+  if (ctx_.policy.metrics_port == 0) return;
+  rt::HttpServer::Bounds bounds;
+  bounds.connections = scrapers;
+  // On loopback only: whoever lets others scrape it puts that in front.
+  const rt::Endpoint at{"127.0.0.1", static_cast<std::uint16_t>(ctx_.policy.metrics_port)};
+  server_ = std::make_unique<rt::HttpServer>(ctx_.loop, at, std::move(bounds),
+                                             [this](rt::HttpMessage m) { return answer(std::move(m)); });
+}
+
+metrics::Levels MetricsService::levels() {
+  metrics::Levels l;
+  const auto c = connections_();
+  l.connections = c.all;
+  l.worker_connections = c.workers;
+  l.worker_room = c.worker_room;
+  l.state_requests_used = state_.requests_used();
+  if (ctx_.scheduler == nullptr) return l;
+  l.leads = true;
+  l.machines = ctx_.scheduler->machines().size();
+  l.jobs = ctx_.scheduler->jobs().size();
+  for (const auto urgency : {Urgency::awaited, Urgency::borrowed, Urgency::spare}) {
+    const auto b = ctx_.scheduler->backlog(urgency, ctx_.now());
+    l.store_queues.at(static_cast<std::size_t>(urgency)) = {b.rows, to_seconds(b.oldest)};
+  }
+  return l;
+}
+
+rt::Task<rt::HttpResponse> MetricsService::answer(rt::HttpMessage request) {
+  if (request.target != "/metrics") co_return rt::HttpResponse{404, "{}", {}, false};
+  if (request.method != "GET") co_return rt::HttpResponse{405, "{}", {}, false};
+  ctx_.metrics.set(levels());
+  rt::HttpResponse response{200, ctx_.metrics.exposition(), {}, false};
+  response.content_type = "text/plain; version=0.0.4";
+  co_return response;
+}
+
+rt::Task<void> MetricsService::run() {
+  if (server_) rt::spawn(server_->serve());
+  for (;;) {
+    co_await ctx_.loop.sleep(line_every);
+    ctx_.log->info("minute: {}", ctx_.metrics.minute_line(levels()));
+  }
+}
+
+}  // namespace martenwall::service
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -41,7 +41,10 @@
       reach_(ctx_, state_, store_, peers_),
       relay_(ctx_, peers_, workers_),
       server_(loop, *rt::Endpoint::parse(ctx_.settings.listen), bounds_of(ctx_.settings),
-              [this](rt::HttpMessage m) { return route(std::move(m)); }) {
+              [this](rt::HttpMessage m) { return route(std::move(m)); }),
+      metrics_(ctx_, state_, [this, room = worker_room(bounds_of(ctx_.settings))] {
+        return MetricsService::Connections{server_.open(), server_.bulk(), room};
+      }) {
   users_.set_peers(peers_);
   cloud_.set_peers(peers_);
   relay_.count_by([this, room = worker_room(bounds_of(ctx_.settings))] {
@@ -65,6 +68,7 @@
   rt::spawn(users_.run_questions());
   rt::spawn(reach_.run());
   rt::spawn(relay_.run());
+  rt::spawn(metrics_.run());
   rt::spawn(server_.serve());
   ctx_.log->info("{} serves on {}, grace {} s", ctx_.settings.node, ctx_.settings.listen,
                  to_seconds(ctx_.leadership.grace()));
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -6,6 +6,7 @@
 #include "service/job_rows.hpp"
 #include "service/leader_store.hpp"
 #include "service/level_service.hpp"
+#include "service/metrics_service.hpp"
 #include "service/peer_service.hpp"
 #include "service/reach_service.hpp"
 #include "service/relay_service.hpp"
@@ -37,6 +38,7 @@
   ReachService reach_;
   RelayService relay_;
   rt::HttpServer server_;
+  MetricsService metrics_;
 };
 
 }  // namespace martenwall::service
--- a/src/service/reach_service.cpp
+++ b/src/service/reach_service.cpp
@@ -1,11 +1,14 @@
 #include "service/reach_service.hpp"
 
+#include <array>
 #include <charconv>
 
 namespace martenwall::service {
 
 namespace {
 constexpr Duration look_every = seconds(0.5);
+constexpr std::array<double, 3> parts_told{0.5, 0.9, 0.99};  // some of the machines are dead at any time
+constexpr Duration return_watched = seconds(90);
 constexpr Duration tell_limit = seconds(0.5);
 constexpr Duration note_every = seconds(2);  // each is a change of the store
 }  // namespace
@@ -50,8 +53,25 @@
   return {200, "{}", {}};
 }
 
+void ReachService::follow_return(std::size_t heard) {
+  if (return_.term != ctx_.term) {
+    return_ = {ctx_.term, ctx_.now(), 0, 0};
+    for (const auto& [id, m] : ctx_.scheduler->machines()) {
+      if (m.phase() == MachinePhase::up) ++return_.machines;
+    }
+  }
+  if (ctx_.now() - return_.began > return_watched) return;
+  while (return_.machines > 0 && return_.next < parts_told.size() &&
+         static_cast<double>(heard) >= parts_told.at(return_.next) * static_cast<double>(return_.machines)) {
+    ctx_.log->info("take-over: {} of {} machines have reported, {:.1f} s after it", heard, return_.machines,
+                   to_seconds(ctx_.now() - return_.began));
+    ++return_.next;
+  }
+}
+
 void ReachService::judge() {
   const auto heard = ctx_.scheduler->heard_since(ctx_.now() - ctx_.hearing.window());
+  follow_return(heard);
   const auto before = ctx_.hearing.state();
   const bool give_up = ctx_.hearing.judge(heard, ctx_.now());
   if (ctx_.hearing.state() != before) {
--- a/src/service/reach_service.hpp
+++ b/src/service/reach_service.hpp
@@ -17,6 +17,7 @@
  private:
   rt::Task<void> tell_leader(std::size_t stranded);
   void judge();
+  void follow_return(std::size_t heard);
 
   Context& ctx_;
   StateClient& state_;
@@ -24,6 +25,14 @@
   PeerService& peers_;
   Time next_note_{};
   bool told_ = false;  // that workers are stranded here, for the log
+  // After a take-over: how long until half, nine tenths and all of the machines that were up have reported.
+  struct Return {
+    std::uint64_t term = 0;
+    Time began{};
+    std::size_t machines = 0;
+    std::size_t next = 0;  // of the parts that are told of
+  };
+  Return return_;
 };
 
 }  // namespace martenwall::service
--- a/src/service/relay_service.cpp
+++ b/src/service/relay_service.cpp
@@ -45,11 +45,13 @@
 rt::Task<rt::HttpResponse> RelayService::report(std::string body) {
   auto report = wire::parse_report(body);
   if (!report) co_return rt::HttpResponse{400, "{}", {}, false};
-  ctx_.hearing.beat(ctx_.loop.refresh());
+  const Time came = ctx_.loop.refresh();
+  ctx_.hearing.beat(came);
   bool close = false;
   if (ctx_.policy.relay_reports && load_) {
     const auto placing = share_.place(report->machine, load_(), ctx_.now());
     if (placing.kind == relay::Placing::Kind::move) {
+      ctx_.metrics.count_report(metrics::ReportWay::sent_on);
       // Nothing of the report is used: the worker sends it again to the other node, at once.
       co_return rt::HttpResponse{421, wire::encode_misdirected(placing.to), {}, true};
     }
@@ -57,6 +59,7 @@
   }
   rt::HttpResponse response = co_await answered_somewhere(std::move(*report));
   response.close = response.close || close;
+  ctx_.metrics.reports.observe(ctx_.now() - came);
   co_return response;
 }
 
@@ -70,6 +73,8 @@
         if (answer.kind == ReportAnswer::Kind::misdirected && ctx_.has_other_leader()) {
           ctx_.turned_away.note(report.machine, ctx_.now());
         }
+        const bool served = answer.kind == ReportAnswer::Kind::orders;
+        ctx_.metrics.count_report(served ? metrics::ReportWay::here : metrics::ReportWay::refused);
         rt::HttpResponse response = workers_.response_to(answer, ctx_.leadership.token());
         ctx_.kick();
         co_return response;
@@ -79,10 +84,14 @@
     const auto advice = link_.advice();
     if (advice == relay::Advice::pass_on && queue_.size() < most_waiting) {
       auto response = co_await pass_on(report, until);
-      if (response) co_return std::move(*response);
+      if (response) {
+        ctx_.metrics.count_report(metrics::ReportWay::relayed);
+        co_return std::move(*response);
+      }
     }
     if (link_.advice() == relay::Advice::redirect || ctx_.now() >= until) {
       if (ctx_.has_other_leader()) ctx_.turned_away.note(report.machine, ctx_.now());
+      ctx_.metrics.count_report(metrics::ReportWay::refused);
       co_return workers_.misdirected();
     }
     if (link_.advice() == relay::Advice::hold) co_await usable_.wait(until);
@@ -183,6 +192,7 @@
     bytes += wire::encoded_size(answer);
     out.answers.push_back(std::move(answer));
   }
+  ctx_.metrics.count_report(metrics::ReportWay::by_others, batch->reports.size());
   out.token = ctx_.leadership.token();
   out.nodes = rooms();
   wire::PeerReply reply{200, wire::encode_answers(out), {}};
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -94,7 +94,7 @@
 rt::Task<std::optional<wire::StorePage>> StateClient::page(std::string prefix, std::string after) {
   const bool admitted = co_await admit(0, seconds(2));
   if (!admitted) co_return std::nullopt;
-  std::string target = "/store?prefix=" + prefix + "&page=500";
+  std::string target = "/store?prefix=" + prefix + "&page=1000";
   if (!after.empty()) target += "&after=" + after;
   const rt::HttpResult r = co_await send("GET", std::move(target), "", seconds(2));
   if (!r.ok()) co_return std::nullopt;
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -39,6 +39,7 @@
   rt::Task<std::optional<std::set<std::string>>> existing(std::vector<std::string> keys, Duration timeout);
   // A good part of this node's share of changes is unused at the moment.
   [[nodiscard]] bool has_spare_writes();
+  [[nodiscard]] double requests_used() { return 1 - requests_.level(ctx_.now()); }  // of this node's share, 0 to 1
   rt::Task<std::optional<LeaseId>> create_lease(Duration ttl);
   enum class Touch { renewed, ended, failed };
   rt::Task<Touch> touch(LeaseId lease, Duration timeout);
--- a/src/service/worker_service.cpp
+++ b/src/service/worker_service.cpp
@@ -67,10 +67,10 @@
       continue;
     }
     const Time before = ctx_.loop.refresh();
-    if (ctx_.proven()) {
-      ctx_.scheduler->round(ctx_.now());
-    }
+    const bool rounds = ctx_.proven();
+    if (rounds) ctx_.scheduler->round(ctx_.now());
     const Duration spent = ctx_.loop.refresh() - before;
+    if (rounds) ctx_.metrics.rounds.observe(spent);
     if (ctx_.scheduler->has_writes(false, ctx_.now())) ctx_.flush.notify();
     ctx_.flushed.notify();  // stops need no commit: let the sender look
     // Where rounds are slow, reports, renewals and users come first.
--- /dev/null
+++ b/tests/metrics_test.cpp
@@ -0,0 +1,76 @@
+#include "metrics/metrics.hpp"
+
+#include <gtest/gtest.h>
+#include <spdlog/sinks/null_sink.h>
+
+#include "service/metrics_service.hpp"
+
+namespace martenwall {
+namespace {
+
+TEST(metrics, are_exposed_as_prometheus_reads_them) {
+  metrics::Metrics m;
+  m.rounds.observe(seconds(0.003));
+  m.rounds.observe(seconds(0.2));
+  m.count_report(metrics::ReportWay::relayed, 7);
+  metrics::Levels l;
+  l.leads = true;
+  l.worker_connections = 42;
+  l.store_queues[0] = {3, 1.5};
+  m.set(l);
+  const auto text = m.exposition();
+  for (const auto* line : {"# TYPE martenwall_round_seconds histogram", "martenwall_round_seconds_count 2",
+                           "martenwall_round_seconds_bucket{le=\"0.005\"} 1", "martenwall_leads 1",
+                           "martenwall_reports_total{way=\"relayed\"} 7", "martenwall_worker_connections 42",
+                           "martenwall_store_queue_rows{urgency=\"awaited\"} 3"}) {
+    EXPECT_NE(std::string::npos, text.find(line)) << line << "\n" << text;
+  }
+}
+
+TEST(metrics, a_minutes_line_tells_of_that_minute_only) {
+  metrics::Metrics m;
+  m.rounds.observe(seconds(0.004));
+  m.count_report(metrics::ReportWay::here, 5);
+  const auto first = m.minute_line({});
+  EXPECT_NE(std::string::npos, first.find("rounds 1 of 4.0 ms")) << first;
+  EXPECT_NE(std::string::npos, first.find("5 here")) << first;
+  const auto second = m.minute_line({});
+  EXPECT_NE(std::string::npos, second.find("rounds 0 of 0.0 ms")) << second;
+  EXPECT_NE(std::string::npos, second.find("0 here")) << second;
+}
+
+// Off unless a port is set for it: the listener is nobody's by accident.
+TEST(metrics_service, listens_only_where_a_port_is_set) {
+  rt::Loop loop;
+  auto log = std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
+  config::Settings s;
+  s.node = "here";
+  s.state = s.cloud = "127.0.0.1:1";
+  s.workers = {3, 19, 50, 4, 39};
+  service::Context off{loop, s, Policy{}, log};
+  service::StateClient off_state{off};
+  EXPECT_EQ(0, service::MetricsService(off, off_state, [] { return service::MetricsService::Connections{}; }).port());
+
+  // A port that is free now, as the system gives it.
+  const auto port = rt::Listener{loop, *rt::Endpoint::parse("127.0.0.1:0")}.port();
+  Policy on;
+  on.metrics_port = port;
+  service::Context ctx{loop, s, on, log};
+  service::StateClient state{ctx};
+  service::MetricsService served{ctx, state, [] { return service::MetricsService::Connections{9, 4, 100}; }};
+  rt::spawn(served.run());
+  rt::HttpClient client{loop, 1, 1024 * 1024, 0};
+  std::optional<rt::HttpResult> result;
+  const auto ask = [&]() -> rt::Task<void> {
+    result = co_await client.request("127.0.0.1:" + std::to_string(port), "GET", "/metrics", "", seconds(10));
+  };
+  rt::spawn(ask());
+  const Time until = loop.refresh() + seconds(20);
+  while (!result && loop.now() < until) loop.step();
+  ASSERT_TRUE(result);
+  EXPECT_EQ(200, result->status);
+  EXPECT_NE(std::string::npos, result->body.find("martenwall_connections 9"));
+}
+
+}  // namespace
+}  // namespace martenwall
