Relay: no bound on held reports of its own, which would have spun once reached

A full queue left the loop without a wait. It cannot be longer than the workers' connections, each of which has one report in flight, so the bound goes. Found by reading.

--- a/src/service/relay_service.cpp
+++ b/src/service/relay_service.cpp
@@ -12,7 +12,6 @@
 constexpr Duration look_every = seconds(0.1);
 constexpr Duration tell_every = seconds(1);
 constexpr std::size_t most_under_way = 4;  // batches
-constexpr std::size_t most_waiting = 20'000;
 }  // namespace
 
 RelayService::RelayService(Context& ctx, PeerService& peers, WorkerService& workers)
@@ -82,7 +81,7 @@
     }
     hear_leader();
     const auto advice = link_.advice();
-    if (advice == relay::Advice::pass_on && queue_.size() < most_waiting) {
+    if (advice == relay::Advice::pass_on) {
       auto response = co_await pass_on(report, until);
       if (response) {
         ctx_.metrics.count_report(metrics::ReportWay::relayed);
--- a/src/service/relay_service.hpp
+++ b/src/service/relay_service.hpp
@@ -57,7 +57,7 @@
   relay::LeaderLink link_;
   relay::WorkerShare share_;
   std::function<relay::NodeLoad()> load_;
-  std::deque<std::shared_ptr<Waiting>> queue_;
+  std::deque<std::shared_ptr<Waiting>> queue_;  // no longer than workers' connections: each has one report in flight
   bool gathering_ = false;
   bool probing_ = false;
   std::size_t under_way_ = 0;
