Refused users are told to return when they can be taken, not all in one second

Need: after an outage everyone who was refused came back within the same second and was partly refused again. Change: core/return_times gives each refused request the first whole second that is not full, 1 to 8 s; a second takes this node's part of the state service's changes. One refused alone still returns after 1 s. A generated test holds the promise. Clean-ups beside it, without change of behaviour: an unread time of LeaderLink, one way out for refused reports, room for workers reckoned once, least needs in one place.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -25,10 +25,7 @@
  public:
   Planner(const FleetView& view, const std::vector<Demand>& demands)
       : view_(view), per_zone_(view.per_zone), pool_(view.prospects) {
-    for (const auto& d : demands) {
-      const auto& n = d.spec->need;
-      least_ = {std::min(least_.cpus, n.cpus), std::min(least_.gpus, n.gpus), std::min(least_.memory_gb, n.memory_gb)};
-    }
+    for (const auto& d : demands) least_ = least_.least(d.spec->need);
     for (std::size_t i = 0; i < pool_.size(); ++i) enter(i);
   }
 
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -1,5 +1,6 @@
 // What the core knows: jobs, tasks, machines, placements, teams.
 #pragma once
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -32,6 +33,10 @@
     gpus += r.gpus * times;
     memory_gb += r.memory_gb * times;
   }
+  // Of each the lesser.
+  [[nodiscard]] Resources least(const Resources& o) const {
+    return {std::min(cpus, o.cpus), std::min(gpus, o.gpus), std::min(memory_gb, o.memory_gb)};
+  }
   [[nodiscard]] Resources times(double n) const { return {cpus * n, gpus * n, memory_gb * n}; }
 };
 
--- /dev/null
+++ b/src/core/return_times.hpp
@@ -0,0 +1,24 @@
+// When users that are refused are to ask again: so many a second that they can be taken then, and not all at once.
+#pragma once
+#include "core/types.hpp"
+
+namespace martenwall {
+
+class ReturnTimes {
+ public:
+  // `per_second`: requests that this node can take beside new ones. `most_s`: no user is sent away for longer.
+  ReturnTimes(double per_second, int most_s);
+  // For one more refused request: whole seconds, 1 to `most_s`. Each gets the first second that is not full yet; where
+  // all are, they are shared out evenly.
+  int next(Time now);
+  // Requests told to return that have not yet had their turn.
+  [[nodiscard]] double waiting() const { return waiting_; }
+
+ private:
+  double per_second_;
+  int most_s_;
+  double waiting_ = 0;
+  Time at_{};
+};
+
+}  // namespace martenwall
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -117,11 +117,7 @@
   add_rows(board, now);
   // A machine without room for even the smallest need costs nothing further.
   Resources least{1e18, 1e18, 1e18};
-  for (const auto& row : board.rows) {
-    const auto& need = row.job->spec.need;
-    least = {std::min(least.cpus, need.cpus), std::min(least.gpus, need.gpus),
-             std::min(least.memory_gb, need.memory_gb)};
-  }
+  for (const auto& row : board.rows) least = least.least(row.job->spec.need);
   for (auto& [id, m] : machines_) {
     if (m.reserved_for && (now >= m.reserved_until || !jobs_.contains(*m.reserved_for))) m.reserved_for.reset();
     if (!usable(m, now) || m.placements.size() >= setup_.max_tasks_per_machine) continue;
--- a/src/relay/leader_link.cpp
+++ b/src/relay/leader_link.cpp
@@ -23,7 +23,6 @@
   const bool fails = next == LinkState::doubted || next == LinkState::redirecting;
   if (fails && !was_failing && state_ != LinkState::probing) failing_since_ = now;
   state_ = next;
-  since_ = now;
 }
 
 void LeaderLink::leader_is(const std::string& node, Time now) {
--- a/src/relay/leader_link.hpp
+++ b/src/relay/leader_link.hpp
@@ -45,7 +45,6 @@
   Duration patience_;
   LinkState state_ = LinkState::none;
   std::string leader_;
-  Time since_{};
   Time failing_since_{};
   Time last_probe_{Duration::min() / 2};
 };
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -24,12 +24,22 @@
   return b.connections - std::min(b.connections, std::max<std::size_t>(16, b.connections / 6));
 }
 
+// A user gives up after 60 s and must hear of its job before; it asks again as often as it is told.
+constexpr int longest_return_s = 8;
+
+// A submission costs one change of the state service, which all nodes share.
+double returns_a_second(const config::Settings& s) {
+  return s.state_write_rps / static_cast<double>(s.peers.size() + 1);
+}
+
 rt::HttpResponse plain(int status) { return {status, "{}", {}, false}; }
 
 }  // namespace
 
 Node::Node(rt::Loop& loop, config::Settings settings, Policy policy, std::shared_ptr<spdlog::logger> log)
     : ctx_(loop, std::move(settings), policy, std::move(log)),
+      worker_room_(worker_room(bounds_of(ctx_.settings))),
+      returns_(returns_a_second(ctx_.settings), longest_return_s),
       state_(ctx_),
       job_rows_(ctx_, state_),
       levels_(ctx_, state_),
@@ -42,14 +52,12 @@
       relay_(ctx_, peers_, workers_),
       server_(loop, *rt::Endpoint::parse(ctx_.settings.listen), bounds_of(ctx_.settings),
               [this](rt::HttpMessage m) { return route(std::move(m)); }),
-      metrics_(ctx_, state_, [this, room = worker_room(bounds_of(ctx_.settings))] {
-        return MetricsService::Connections{server_.open(), server_.bulk(), room};
+      metrics_(ctx_, state_, [this] {
+        return MetricsService::Connections{server_.open(), server_.bulk(), worker_room_};
       }) {
   users_.set_peers(peers_);
   cloud_.set_peers(peers_);
-  relay_.count_by([this, room = worker_room(bounds_of(ctx_.settings))] {
-    return relay::NodeLoad{server_.bulk(), room};
-  });
+  relay_.count_by([this] { return relay::NodeLoad{server_.bulk(), worker_room_}; });
 }
 
 void Node::run() {
@@ -76,6 +84,13 @@
 }
 
 rt::Task<rt::HttpResponse> Node::route(rt::HttpMessage request) {
+  rt::HttpResponse response = co_await route_path(std::move(request));
+  // After an outage all users who were refused would else come back within the same second.
+  if (response.retry_after_s) response.retry_after_s = returns_.next(ctx_.loop.refresh());
+  co_return response;
+}
+
+rt::Task<rt::HttpResponse> Node::route_path(rt::HttpMessage request) {
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == "/agent/beat") {
     if (request.method != "POST") co_return plain(405);
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -1,5 +1,6 @@
 // One controller node: its services and their routes.
 #pragma once
+#include "core/return_times.hpp"
 #include "runtime/http_server.hpp"
 #include "service/cloud_service.hpp"
 #include "service/context.hpp"
@@ -23,10 +24,13 @@
 
  private:
   rt::Task<rt::HttpResponse> route(rt::HttpMessage request);
+  rt::Task<rt::HttpResponse> route_path(rt::HttpMessage request);
   rt::Task<wire::PeerReply> route_peer(wire::PeerRequest request);
   rt::Task<rt::HttpResponse> route_job(const std::string& method, std::string rest);
 
   Context ctx_;
+  const std::size_t worker_room_;  // connections that workers may hold
+  ReturnTimes returns_;            // of users that were refused
   StateClient state_;
   JobRows job_rows_;
   LevelService levels_;
--- a/src/service/relay_service.cpp
+++ b/src/service/relay_service.cpp
@@ -66,19 +66,11 @@
   const Time until = ctx_.now() + hold_limit;
   for (;;) {
     co_await workers_.settled();
-    if (ctx_.scheduler != nullptr || !ctx_.policy.relay_reports) {
+    if (ctx_.scheduler != nullptr) {
       const auto answer = workers_.answer(report);
-      if (answer.kind != ReportAnswer::Kind::misdirected || !ctx_.policy.relay_reports) {
-        if (answer.kind == ReportAnswer::Kind::misdirected && ctx_.has_other_leader()) {
-          ctx_.turned_away.note(report.machine, ctx_.now());
-        }
-        const bool served = answer.kind == ReportAnswer::Kind::orders;
-        ctx_.metrics.count_report(served ? metrics::ReportWay::here : metrics::ReportWay::refused);
-        rt::HttpResponse response = workers_.response_to(answer, ctx_.leadership.token());
-        ctx_.kick();
-        co_return response;
-      }
+      if (answer.kind != ReportAnswer::Kind::misdirected) co_return answered_here(answer);
     }
+    if (!ctx_.policy.relay_reports) co_return refused(report);
     hear_leader();
     const auto advice = link_.advice();
     if (advice == relay::Advice::pass_on) {
@@ -88,15 +80,25 @@
         co_return std::move(*response);
       }
     }
-    if (link_.advice() == relay::Advice::redirect || ctx_.now() >= until) {
-      if (ctx_.has_other_leader()) ctx_.turned_away.note(report.machine, ctx_.now());
-      ctx_.metrics.count_report(metrics::ReportWay::refused);
-      co_return workers_.misdirected();
-    }
+    if (link_.advice() == relay::Advice::redirect || ctx_.now() >= until) co_return refused(report);
     if (link_.advice() == relay::Advice::hold) co_await usable_.wait(until);
   }
 }
 
+rt::HttpResponse RelayService::answered_here(const ReportAnswer& answer) {
+  const bool served = answer.kind == ReportAnswer::Kind::orders;
+  ctx_.metrics.count_report(served ? metrics::ReportWay::here : metrics::ReportWay::refused);
+  rt::HttpResponse response = workers_.response_to(answer, ctx_.leadership.token());
+  ctx_.kick();
+  return response;
+}
+
+rt::HttpResponse RelayService::refused(const WorkerReport& report) {
+  if (ctx_.has_other_leader()) ctx_.turned_away.note(report.machine, ctx_.now());
+  ctx_.metrics.count_report(metrics::ReportWay::refused);
+  return workers_.misdirected();
+}
+
 rt::Task<std::optional<rt::HttpResponse>> RelayService::pass_on(const WorkerReport& report, Time until) {
   auto waiting = std::make_shared<Waiting>(ctx_.loop, report);
   queue_.push_back(waiting);
--- a/src/service/relay_service.hpp
+++ b/src/service/relay_service.hpp
@@ -38,6 +38,8 @@
   };
   using Batch = std::vector<std::shared_ptr<Waiting>>;
   rt::Task<rt::HttpResponse> answered_somewhere(WorkerReport report);
+  rt::HttpResponse answered_here(const ReportAnswer& answer);
+  rt::HttpResponse refused(const WorkerReport& report);
   rt::Task<std::optional<rt::HttpResponse>> pass_on(const WorkerReport& report, Time until);
   rt::Task<void> send_soon();
   rt::Task<void> send(Batch batch);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,10 +1,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <set>
 
 #include "core/heuristics.hpp"
 #include "core/model.hpp"
+#include "core/return_times.hpp"
 #include "core/write_queue.hpp"
 
 namespace martenwall {
@@ -147,6 +149,35 @@
   EXPECT_LT(m.at(0, 0), m.at(0, 1));  // the one that idled longer is left to go back
 }
 
+// Users refused in one outage all came back within one second of its end, and most were refused again.
+RC_GTEST_PROP(return_times, no_second_is_promised_to_more_than_it_takes, (const std::vector<std::uint8_t>& gaps)) {
+  const int rate = *rc::gen::inRange(1, 50);
+  const int most = *rc::gen::inRange(1, 30);
+  ReturnTimes times{static_cast<double>(rate), most};
+  Time now{seconds(5)};
+  std::map<long, int> told;
+  bool full = false;
+  for (const auto gap : gaps) {
+    now += seconds(gap < 200 ? 0.0 : (gap - 200) * 0.02);
+    full = full || times.waiting() >= static_cast<double>(rate) * most;
+    const int s = times.next(now);
+    RC_ASSERT(s >= 1 && s <= most);
+    ++told[static_cast<long>(to_seconds(now - Time{})) + s];
+  }
+  // Two of a user's seconds may lie in one of these.
+  for (const auto& [second, users] : told) RC_ASSERT(full || users <= 2 * rate + 2);
+}
+
+TEST(return_times, one_that_is_refused_alone_returns_at_once_and_a_rush_is_shared_out) {
+  ReturnTimes times{10, 8};
+  EXPECT_EQ(1, times.next(Time{seconds(1)}));
+  EXPECT_EQ(1, times.next(Time{seconds(5)}));
+  std::map<int, int> told;
+  for (int i = 0; i < 160; ++i) ++told[times.next(Time{seconds(20)})];
+  for (int s = 1; s <= 8; ++s) EXPECT_EQ(20, told[s]) << s;
+  EXPECT_EQ(1, times.next(Time{seconds(60)}));
+}
+
 TEST(heuristics, a_reserved_machine_fits_only_its_job) {
   Two t;
   t.one.reserved_for = JobId{"job-other"};
