--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -205,6 +205,8 @@
   if (n.flushing < 3 && n.scheduler->has_writes(true, now_)) flush(n);
   for (auto& batch : n.scheduler->take_direct(now_)) send_direct(n, std::move(batch));
   for (const auto& request : n.scheduler->take_hires()) {
+    note("hire " + request.name + " " + std::to_string(request.count) + " " + request.zone +
+         (request.spot ? " spot" : ""));
     if (!hire_names_.insert(request.name).second) breach("hire name reused: " + request.name);
     std::vector<MachineId> ids;
     if (workers_.size() < 14) {
@@ -223,7 +225,10 @@
     n.scheduler->on_hired(request, ids, now_);
   }
   const auto releases = n.scheduler->take_releases(now_);
-  for (const auto& id : releases) workers_.erase(id);
+  for (const auto& id : releases) {
+    note("release " + id.value());
+    workers_.erase(id);
+  }
   if (!releases.empty()) n.scheduler->on_released(releases, now_);
 }
 
@@ -242,6 +247,10 @@
 void World::flush(Node& n) {
   ++n.flushing;
   const auto rows = take_fitting(n);
+  for (const auto& row : rows) {
+    note("row " + std::to_string(static_cast<int>(row.key.kind)) + " " + row.key.id + " " +
+         std::to_string(row.key.part) + " " + std::to_string(size_of(row)));
+  }
   // Held by a cut, a transaction is applied late; its conditions decide then.
   const Time arrives = std::max(now_, n.cut_until) + seconds(between(wire_low, 0.3));
   at(arrives, [this, &n, life = n.life, token = n.leadership->token(), rows] { apply(n, life, token, rows); });
@@ -313,6 +322,7 @@
 }
 
 void World::send_direct(Node& n, DirectBatch batch) {
+  note("command " + batch.machine.value(), batch.orders);
   const bool held = faulty_ && roll() < faults_.held_command;
   const Time arrives = now_ + seconds(held ? between(3, 150) : between(wire_low, wire_high));
   const auto token = n.leadership->token();
@@ -407,12 +417,27 @@
   });
 }
 
+void World::note(const std::string& what) const {
+  if (decided) decided(std::to_string(now_.time_since_epoch().count()) + " " + what);
+}
+
+void World::note(const std::string& what, const std::vector<Order>& orders) const {
+  if (!decided) return;
+  std::string out = what;
+  for (const auto& o : orders) {
+    out += " " + std::to_string(static_cast<int>(o.verb)) + ":" + o.task.job.value() + "/" +
+           std::to_string(o.task.index) + "#" + std::to_string(o.attempt.value()) + "~" + std::to_string(o.grace_s);
+  }
+  note(out);
+}
+
 World::Answer World::answer_of(Node& n, const WorkerReport& report) {
   Answer a;
   if (n.scheduler != nullptr && report.token > n.leadership->token()) step_down(n);
   if (n.scheduler != nullptr && n.leadership->serves_workers(now_) && !n.scheduler->is_gone(report.machine)) {
     a.orders = n.scheduler->on_report(report, ReportSource::beat, now_, n.leadership->proven(now_));
     n.scheduler->answered(report.machine, now_);
+    note("answer " + report.machine.value(), a.orders);
     a.token = n.leadership->token();
     a.ok = true;
   }
--- a/tests/simulation.hpp
+++ b/tests/simulation.hpp
@@ -55,6 +55,8 @@
   [[nodiscard]] std::size_t relayed() const { return relayed_; }    // answers that another node handed out
   [[nodiscard]] std::size_t cascaded() const { return cascaded_; }  // jobs that others' cancellations took along
   std::function<void(const std::string&)> trace;
+  // Everything that a controller's core gave out, in order: orders, rows, hires, releases.
+  std::function<void(const std::string&)> decided;
 
  private:
   struct WorkTask {
@@ -144,6 +146,8 @@
   void users();
   void check();
   void breach(const std::string& what);
+  void note(const std::string& what, const std::vector<Order>& orders) const;
+  void note(const std::string& what) const;
   const JobSpec& spec_of(const JobId& id) const { return submitted_.at(id); }
   [[nodiscard]] static bool on_machine(const WorkTask& t) {
     return t.state >= TaskState::waiting && t.state != TaskState::ended;
