--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "core/heuristic_table.hpp"
 #include "runtime/socket.hpp"
 
 namespace martenwall::config {
@@ -147,37 +148,31 @@
   const auto number = [](double& to) { return [&to](double v) { to = v; }; };
   const auto duration = [](Duration& to) { return [&to](double v) { to = seconds(v); }; };
   const auto count = [](int& to) { return [&to](double v) { to = static_cast<int>(v); }; };
-  return {{"scheduler.deadline.max", number(p.deadline_max)},
-          {"scheduler.deadline.min", number(p.deadline_min)},
-          {"scheduler.deadline.k", number(p.deadline_k)},
-          {"scheduler.wait.weight", number(p.wait_weight)},
-          {"scheduler.input.weight", number(p.input_weight)},
-          {"scheduler.aging.weight", number(p.aging_weight)},
-          {"scheduler.aging.cap", number(p.aging_cap)},
-          {"scheduler.rank.weight", number(p.rank_weight)},
-          {"scheduler.guarantee.weight", number(p.guarantee_weight)},
-          {"scheduler.packing.weight", number(p.packing_weight)},
-          {"scheduler.spot.weight", number(p.spot_weight)},
-          {"scheduler.round.seconds", duration(p.round)},
-          {"scheduler.direct.starts", [&p](double v) { p.direct_starts = v != 0; }},
-          {"scheduler.error.limit", count(p.error_limit)},
-          {"scheduler.suspect.machines", count(p.suspect_machines)},
-          {"fleet.idle.seconds", duration(p.idle_release)},
-          {"fleet.quiet.after.seconds", duration(p.quiet_after)},
-          {"fleet.quiet.idle.seconds", duration(p.quiet_release)},
-          {"fleet.warm.machines", count(p.warm_machines)},
-          {"fleet.reserve.deviations", number(p.reserve_deviations)},
-          {"fleet.surplus.idle.seconds", duration(p.surplus_release)},
-          {"fleet.boot.patience", number(p.boot_patience)},
-          {"fleet.capacity.retry.seconds", duration(p.capacity_retry)},
-          {"fleet.lost.patience.seconds", duration(p.lost_patience)},
-          {"fleet.guest.patience.seconds", duration(p.guest_patience)},
-          {"fleet.guest.patience.without.spot.seconds", duration(p.guest_patience_without_spot)},
-          {"metrics.port", count(p.metrics_port)},
-          {"workers.relay", [&p](double v) { p.relay_reports = v != 0; }},
-          {"workers.relay.leader.weight", number(p.relay_leader_weight)},
-          {"leader.lease.seconds", duration(p.lease_ttl)},
-          {"leader.renew.seconds", duration(p.renew_every)}};
+  std::map<std::string, Setter> out{
+      {"scheduler.round.seconds", duration(p.round)},
+      {"scheduler.direct.starts", [&p](double v) { p.direct_starts = v != 0; }},
+      {"scheduler.error.limit", count(p.error_limit)},
+      {"scheduler.suspect.machines", count(p.suspect_machines)},
+      {"fleet.idle.seconds", duration(p.idle_release)},
+      {"fleet.quiet.after.seconds", duration(p.quiet_after)},
+      {"fleet.quiet.idle.seconds", duration(p.quiet_release)},
+      {"fleet.warm.machines", count(p.warm_machines)},
+      {"fleet.reserve.deviations", number(p.reserve_deviations)},
+      {"fleet.surplus.idle.seconds", duration(p.surplus_release)},
+      {"fleet.boot.patience", number(p.boot_patience)},
+      {"fleet.capacity.retry.seconds", duration(p.capacity_retry)},
+      {"fleet.lost.patience.seconds", duration(p.lost_patience)},
+      {"fleet.guest.patience.seconds", duration(p.guest_patience)},
+      {"fleet.guest.patience.without.spot.seconds", duration(p.guest_patience_without_spot)},
+      {"metrics.port", count(p.metrics_port)},
+      {"workers.relay", [&p](double v) { p.relay_reports = v != 0; }},
+      {"workers.relay.leader.weight", number(p.relay_leader_weight)},
+      {"leader.lease.seconds", duration(p.lease_ttl)},
+      {"leader.renew.seconds", duration(p.renew_every)}};
+  for (const auto& h : heuristic_table()) {
+    for (const auto& w : h.weights) out.emplace(w.property, number(p.*w.value));
+  }
+  return out;
 }
 
 }  // namespace
--- /dev/null
+++ b/src/core/heuristic_table.cpp
@@ -0,0 +1,52 @@
+#include "core/heuristic_table.hpp"
+
+#include <array>
+#include <sstream>
+
+namespace martenwall {
+
+namespace {
+
+constexpr std::array deadline_weights{HeuristicWeight{"scheduler.deadline.max", &Policy::deadline_max},
+                                      HeuristicWeight{"scheduler.deadline.min", &Policy::deadline_min},
+                                      HeuristicWeight{"scheduler.deadline.k", &Policy::deadline_k}};
+constexpr std::array wait_weights{HeuristicWeight{"scheduler.wait.weight", &Policy::wait_weight}};
+constexpr std::array input_weights{HeuristicWeight{"scheduler.input.weight", &Policy::input_weight}};
+constexpr std::array aging_weights{HeuristicWeight{"scheduler.aging.weight", &Policy::aging_weight},
+                                   HeuristicWeight{"scheduler.aging.cap", &Policy::aging_cap}};
+constexpr std::array rank_weights{HeuristicWeight{"scheduler.rank.weight", &Policy::rank_weight}};
+constexpr std::array guarantee_weights{HeuristicWeight{"scheduler.guarantee.weight", &Policy::guarantee_weight}};
+constexpr std::array packing_weights{HeuristicWeight{"scheduler.packing.weight", &Policy::packing_weight}};
+constexpr std::array spot_weights{HeuristicWeight{"scheduler.spot.weight", &Policy::spot_weight}};
+
+constexpr std::array table{
+    Heuristic{"Minimal requirements", heuristics::minimal_requirements, {}, "where a task fits at all"},
+    Heuristic{"Deadline", heuristics::deadline, deadline_weights, "the deadline curve f1"},
+    Heuristic{"Wait minimization", heuristics::wait_minimization, wait_weights, "short jobs"},
+    Heuristic{"Input", heuristics::input, input_weights, "machines that have the image"},
+    Heuristic{"Anti-aging", heuristics::anti_aging, aging_weights, "per second waited, up to the cap"},
+    Heuristic{"Rank", heuristics::rank, rank_weights, "per step of rank"},
+    Heuristic{"Guarantee", heuristics::guarantee, guarantee_weights, "work within its team's guarantee"},
+    Heuristic{"Packing", heuristics::packing, packing_weights,
+              "fuller machines, of empty ones those that idled shortest"},
+    Heuristic{"Spot", heuristics::spot_preference, spot_weights, "spot machines, for jobs that may use them"},
+    Heuristic{"Suspicion", heuristics::suspicion, {}, "jobs that fail wherever they go come last"},
+};
+
+}  // namespace
+
+std::span<const Heuristic> heuristic_table() { return table; }
+
+std::string heuristics_help() {
+  const Policy defaults;
+  std::ostringstream out;
+  out << "Properties that weigh the heuristics (--properties), with their defaults:\n";
+  for (const auto& h : table) {
+    for (const auto& w : h.weights) {
+      out << "  " << w.property << " = " << defaults.*w.value << "  " << h.name << ": " << h.what << "\n";
+    }
+  }
+  return out.str();
+}
+
+}  // namespace martenwall
--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/heuristic_table.hpp"
+
 namespace martenwall {
 
 bool type_allows(const JobSpec& spec, const MachineType& type) {
@@ -228,16 +230,7 @@
 
 Matrix build_matrix(const Board& board) {
   Matrix m{board.rows.size(), board.columns.size()};
-  heuristics::minimal_requirements(board, m);
-  heuristics::deadline(board, m);
-  heuristics::wait_minimization(board, m);
-  heuristics::input(board, m);
-  heuristics::anti_aging(board, m);
-  heuristics::rank(board, m);
-  heuristics::guarantee(board, m);
-  heuristics::packing(board, m);
-  heuristics::spot_preference(board, m);
-  heuristics::suspicion(board, m);
+  for (const auto& h : heuristic_table()) h.add(board, m);
   return m;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "core/heuristic_table.hpp"
 #include "service/node.hpp"
 
 namespace {
@@ -32,6 +33,7 @@
   app.add_option("--config", config_path, "settings file of the platform (JSON)")->required();
   app.add_option("--properties", properties_path, "operators' own settings (Java-style properties)");
   app.add_flag("--check", check_only, "check the settings and exit");
+  app.footer(martenwall::heuristics_help());
   CLI11_PARSE(app, argc, argv);
   try {
     auto settings = martenwall::config::load_settings(config_path);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -3,8 +3,10 @@
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "config/settings.hpp"
+#include "core/heuristic_table.hpp"
 
 namespace martenwall::config {
 namespace {
@@ -79,6 +81,26 @@
   EXPECT_THROW(apply_properties(wrong.path, p), SettingsError);
 }
 
+// A heuristic is added in one place: its properties, `--help` and README must follow from there.
+TEST(properties, of_every_heuristic_are_taken_and_documented) {
+  std::ifstream file{std::string{MARTENWALL_TEST_DATA} + "/../../README.md"};
+  std::stringstream readme;
+  readme << file.rdbuf();
+  const Policy defaults;
+  for (const auto& h : heuristic_table()) {
+    for (const auto& w : h.weights) {
+      std::ostringstream row;
+      row << "| `" << w.property << "` | " << defaults.*w.value << " | " << h.name << ": " << h.what << " |\n";
+      EXPECT_NE(std::string::npos, readme.str().find(row.str())) << "README lacks: " << row.str();
+      EXPECT_NE(std::string::npos, heuristics_help().find(w.property));
+      Policy p;
+      const File f{std::string{w.property} + " = 7.25\n"};
+      apply_properties(f.path, p);
+      EXPECT_DOUBLE_EQ(7.25, p.*w.value) << w.property;
+    }
+  }
+}
+
 // The limits of later may name other fields than those of today's pages, any of them, or none.
 TEST(settings, limits_to_come_are_checked_where_they_stand) {
   auto v = good();
