--- /dev/null
+++ b/tests/architecture_test.cpp
@@ -0,0 +1,69 @@
+// Which package may include which (docs/architecture.md): dependencies point down and never in a circle.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+#include <string>
+
+namespace martenwall {
+namespace {
+
+const std::map<std::string, std::set<std::string>>& allowed() {
+  static const std::map<std::string, std::set<std::string>> table{
+      {"core", {}},
+      {"relay", {"core"}},
+      {"metrics", {"core"}},
+      {"runtime", {"core"}},
+      {"wire", {"core"}},
+      {"config", {"core", "runtime"}},
+      {"service", {"config", "core", "metrics", "relay", "runtime", "wire"}},
+  };
+  return table;
+}
+
+std::set<std::string> packages_included_by(const std::filesystem::path& file) {
+  static const std::regex include{R"(^\s*#\s*include\s*"([a-z_]+)/[^"]+")"};
+  std::set<std::string> out;
+  std::ifstream in{file};
+  std::smatch m;
+  for (std::string line; std::getline(in, line);) {
+    if (std::regex_search(line, m, include)) out.insert(m[1]);
+  }
+  return out;
+}
+
+TEST(architecture, packages_include_only_those_below_them) {
+  const std::filesystem::path src{std::string{MARTENWALL_TEST_DATA} + "/../../src"};
+  std::size_t files = 0;
+  for (const auto& package : std::filesystem::directory_iterator{src}) {
+    if (!package.is_directory()) continue;  // main.cpp may include all
+    const auto name = package.path().filename().string();
+    ASSERT_TRUE(allowed().contains(name)) << "a new package: add it here, to README's layout and docs/architecture.md";
+    for (const auto& file : std::filesystem::directory_iterator{package}) {
+      ++files;
+      for (const auto& used : packages_included_by(file.path())) {
+        EXPECT_TRUE(used == name || allowed().at(name).contains(used)) << file.path() << " includes " << used;
+      }
+    }
+  }
+  EXPECT_GT(files, 80U);
+}
+
+// What is allowed has no circle, else the check above would show little.
+TEST(architecture, allowed_includes_have_no_circle) {
+  std::set<std::string> placed;
+  for (std::size_t before = placed.size() + 1; before != placed.size();) {
+    before = placed.size();
+    for (const auto& [name, below] : allowed()) {
+      if (std::ranges::includes(placed, below)) placed.insert(name);
+    }
+  }
+  EXPECT_EQ(allowed().size(), placed.size());
+}
+
+}  // namespace
+}  // namespace martenwall
