Hires wait in a short line, the most urgent demand's first

Change: no more hires in line than the cloud takes in 4 s; the rest is planned anew; order by the demand served first.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -38,11 +38,16 @@
 
   [[nodiscard]] std::vector<HireRequest> requests() const {
     std::map<CapacityMemory::Place, std::uint32_t> counts;
+    // In the order in which the demands were served: what the most urgent one wants goes first.
+    std::vector<CapacityMemory::Place> places;
     for (const auto& v : pool_) {
-      if (v.to_hire) ++counts[{v.type->name, v.zone, v.spot}];
+      if (!v.to_hire) continue;
+      const auto& place = places.emplace_back(v.type->name, v.zone, v.spot);
+      if (++counts[place] > 1) places.pop_back();
     }
     std::vector<HireRequest> out;
-    for (const auto& [place, wanted] : counts) {
+    for (const auto& place : places) {
+      const auto wanted = counts.at(place);
       const auto& [type, zone, spot] = place;
       for (auto left = wanted; left > 0; left -= std::min(left, most_per_request)) {
         out.push_back({{}, type, zone, spot, std::min(left, most_per_request)});
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -353,6 +353,9 @@
   FleetView view{now, setup_.policy, types_, capacity_, {}, prospects(board, now)};
   for (const auto& [id, m] : machines_) ++view.per_zone[m.zone];
   for (auto& request : plan_hires(view, demands)) {
+    // The cloud takes a few calls a second. A long line is answered when others want the machines, and half of it is
+    // refused where its head was: what is not asked for now is planned again with what is known then.
+    if (open_hires_.size() >= setup_.hires_in_line) break;
     request.name = "hire-" + std::to_string(setup_.token.value()) + "-" + std::to_string(++hire_serial_);
     log_("hire " + request.name + ": " + std::to_string(request.count) + " " + request.type + " in " + request.zone +
          (request.spot ? ", spot" : ""));
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -30,6 +30,8 @@
     std::uint32_t legacy_size = 100;  // task indices in a row by number
     std::uint32_t span_size = 40;     // in a row that names its run
     std::size_t group_size = 25;      // machines in one row
+    std::size_t hires_in_line =
+        100;  // not answered yet; what is wanted beyond is planned anew when the line is shorter
     Token token;
     Time old_leader_until{};  // the last moment at which an earlier leader may have answered a worker
   };
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -8,6 +8,8 @@
 namespace martenwall::service {
 
 namespace {
+// Enough to keep the cloud busy through slow answers, and no longer than a boot is worth.
+constexpr double longest_hire_line_s = 4;
 constexpr std::size_t max_txn_bytes = 48 * 1024;  // of the 64 KiB, the rest is for conditions and framing
 constexpr Duration watch_hold = seconds(2);
 constexpr std::size_t max_under_way = 4;
@@ -164,6 +166,7 @@
   setup.old_leader_until = old_grace.count() > 0 ? acquired + old_grace + ctx_.policy.margin : acquired;
   setup.spans = ctx_.level >= wire::this_level;
   setup.legacy_size = ctx_.legacy_size;
+  setup.hires_in_line = static_cast<std::size_t>(std::max(4.0, ctx_.settings.cloud_rps * longest_hire_line_s));
   return setup;
 }
 
--- a/tests/fleet_size_test.cpp
+++ b/tests/fleet_size_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 #include "core/scheduler.hpp"
 
@@ -73,6 +74,39 @@
   EXPECT_EQ(MachinePhase::releasing, h.phase("i-1"));
 }
 
+// At four times the size hires waited a minute in a line of hundreds, half of them for kinds refused meanwhile.
+TEST(fleet_at_size, hires_wait_in_a_short_line_and_the_most_urgent_go_first) {
+  auto setup = Hall::setup();
+  setup.hires_in_line = 3;
+  Scheduler s{setup, [](const std::string&) {}};
+  s.set_types({{"g", {48, 4, 288}, 50, 1, 10, 3, 40, {"a", "b"}}});
+  const Time now{seconds(1000)};
+  for (const auto& [id, rank, zone] : {std::tuple{"wide", Rank::normal, "a"}, std::tuple{"urgent", Rank::high, "b"}}) {
+    Job job;
+    job.spec.id = JobId{id};
+    job.spec.team = std::string{"red"};
+    job.spec.shape = Shape::array;
+    job.spec.rank = rank;
+    job.spec.tasks = 1000;
+    job.spec.need = {40, 4, 200};
+    job.spec.estimate_s = 100;
+    job.spec.zone = std::string{zone};
+    job.submitted = job.waiting_since = now;
+    s.add_job(job, now);
+  }
+  s.round(now);
+  auto first = s.take_hires();
+  ASSERT_EQ(3U, first.size());
+  for (const auto& h : first) EXPECT_EQ("b", h.zone);
+  s.round(now + seconds(5));
+  EXPECT_TRUE(s.take_hires().empty()) << "none of the three was answered";
+  s.on_refused(first[0], now + seconds(6));
+  s.round(now + seconds(6));
+  const auto next = s.take_hires();
+  ASSERT_EQ(1U, next.size());
+  EXPECT_EQ("a", next[0].zone) << "the refused kind is left alone for a while";
+}
+
 TEST(fleet_at_size, a_dead_machine_goes_as_soon_as_the_list_says_so) {
   Hall h;
   h.beat(Hall::report("i-1", 1));
