--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -85,8 +85,8 @@
                        {t.number_or("cpus_max", 0), t.number_or("gpus_max", 0), 0}});
   }
   for (const auto& o : facts.list("objectives")) {
-    s.objectives.push_back(
-        {o.text("kind"), o.text_or("class", ""), o.number_or("within_s", 0), o.number_or("share", 0)});
+    s.objectives.push_back({o.text("kind"), o.text_or("class", ""), o.number_or("within_s", 0), o.number_or("share", 0),
+                            o.number_or("times", 1)});
   }
   const auto w = facts.object("workers");
   s.workers = {w.number("report_s", 0.1), w.number("lease_s", 1), w.number("gang_wait_s", 1),
@@ -153,6 +153,7 @@
       {"scheduler.direct.starts", [&p](double v) { p.direct_starts = v != 0; }},
       {"scheduler.error.limit", count(p.error_limit)},
       {"scheduler.suspect.machines", count(p.suspect_machines)},
+      {"scheduler.shortage.efficiency", number(p.shortage_efficiency)},
       {"fleet.idle.seconds", duration(p.idle_release)},
       {"fleet.quiet.after.seconds", duration(p.quiet_after)},
       {"fleet.quiet.idle.seconds", duration(p.quiet_release)},
@@ -205,6 +206,9 @@
   }
   if (policy.round < seconds(0.05)) throw SettingsError("properties: 'scheduler.round.seconds' must be at least 0.05");
   if (policy.metrics_port > 65535) throw SettingsError("properties: 'metrics.port' must be at most 65535");
+  if (policy.shortage_efficiency <= 0 || policy.shortage_efficiency > 1) {
+    throw SettingsError("properties: 'scheduler.shortage.efficiency' must be above 0 and at most 1");
+  }
   if (policy.suspect_machines < 1) throw SettingsError("properties: 'scheduler.suspect.machines' must be at least 1");
   const auto& w = settings.workers;
   if (w.cancel_s <= w.lease_s + to_seconds(policy.lease_ttl + policy.margin) + 1) {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -17,6 +17,7 @@
 struct Objective {
   std::string kind, lane;
   double within_s = 0, share = 0;
+  double times = 1;  // of the deadline, for the kind `deadline`
 };
 
 struct Settings {
--- a/src/core/heuristic_table.cpp
+++ b/src/core/heuristic_table.cpp
@@ -18,6 +18,7 @@
 constexpr std::array guarantee_weights{HeuristicWeight{"scheduler.guarantee.weight", &Policy::guarantee_weight}};
 constexpr std::array packing_weights{HeuristicWeight{"scheduler.packing.weight", &Policy::packing_weight}};
 constexpr std::array spot_weights{HeuristicWeight{"scheduler.spot.weight", &Policy::spot_weight}};
+constexpr std::array shortage_weights{HeuristicWeight{"scheduler.shortage.weight", &Policy::shortage_weight}};
 
 constexpr std::array table{
     Heuristic{"Minimal requirements", heuristics::minimal_requirements, {}, "where a task fits at all"},
@@ -30,6 +31,8 @@
     Heuristic{"Packing", heuristics::packing, packing_weights,
               "fuller machines, of empty ones those that idled shortest"},
     Heuristic{"Spot", heuristics::spot_preference, spot_weights, "spot machines, for jobs that may use them"},
+    Heuristic{"Shortage", heuristics::shortage, shortage_weights,
+              "where not all can be in time: less for each time that a job is expected to miss; 0: off"},
     Heuristic{"Suspicion", heuristics::suspicion, {}, "jobs that fail wherever they go come last"},
 };
 
--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -162,6 +162,12 @@
   }
 }
 
+// Work that cannot be in time any more leaves the room to work that can, and is done after it.
+void shortage(const Board& board, Matrix& m) {
+  if (board.policy.shortage_weight <= 0) return;
+  add_per_row(board, m, [&](const Row& row) { return -board.policy.shortage_weight * row.deferred; });
+}
+
 // Jobs that fail wherever they go take what the others leave.
 void suspicion(const Board& board, Matrix& m) {
   constexpr double last = 1000;
--- a/src/core/heuristics.hpp
+++ b/src/core/heuristics.hpp
@@ -19,6 +19,7 @@
   double estimate_s = 0;   // Nxtime: corrected estimate
   bool even = false;       // a gang whose tasks must all have their image, or all fetch it
   bool spot_only = false;  // takes what others leave: keeps off the ordinary machines
+  double deferred = 0;     // in a shortage: of the times that it should meet, those that it is expected to miss
 };
 
 struct Column {
@@ -85,6 +86,7 @@
 void guarantee(const Board& board, Matrix& m);
 void packing(const Board& board, Matrix& m);
 void spot_preference(const Board& board, Matrix& m);
+void shortage(const Board& board, Matrix& m);
 void suspicion(const Board& board, Matrix& m);
 }  // namespace heuristics
 
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -23,6 +23,8 @@
   double guarantee_weight;  // work within its team's guarantee
   double packing_weight;    // fuller machines first, so that whole ones stay free
   double spot_weight;       // spot machines for those who may use them
+  double shortage_weight;   // what cannot be in time, in a shortage: per time that it misses; 0: nobody is told apart
+  double shortage_efficiency;  // part of the room freed that is counted on for running work, 0 to 1
   // Rounds and fleet
   Duration round;
   Duration idle_release;
@@ -51,8 +53,9 @@
 
 // How soon the users want work to start, from the settings' objectives.
 struct StartAims {
-  std::map<std::string, std::vector<double>> by_lane;  // seconds from the submission
-  double guarantee_s = 0;                              // for work within its team's guarantee; 0: none asked
+  std::map<std::string, std::vector<double>> by_lane;            // seconds from the submission
+  double guarantee_s = 0;                                        // for work within its team's guarantee; 0: none asked
+  std::map<std::string, std::vector<double>> deadlines_by_lane;  // times its deadline within which to be done
 };
 
 struct WorkerTerms {
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -28,6 +28,7 @@
 bool before(const Row& a, const Row& b) {
   if (a.job->suspect != b.job->suspect) return b.job->suspect;
   if (a.job->rank != b.job->rank) return a.job->rank > b.job->rank;
+  if (a.deferred != b.deferred) return a.deferred < b.deferred;
   if (a.within_guarantee != b.within_guarantee) return a.within_guarantee;
   return a.job->released < b.job->released;
 }
@@ -102,6 +103,7 @@
     board.rows.push_back({&job, count, board.guaranteed.contains(id), estimate_of(job), must_be_even(job, now),
                           keeps_to_spot(job, any_spot, now)});
   }
+  if (setup_.policy.shortage_weight > 0) tell_apart(board, now);
   std::ranges::stable_sort(board.rows, before);
 }
 
@@ -444,9 +446,11 @@
        late(Urgency::spare));
   std::size_t pending = 0;
   for (const auto& row : board.rows) pending += row.count;
+  const auto deferred = std::ranges::count_if(board.rows, [](const Row& r) { return r.deferred > 0; });
   log_("fleet: busy " + std::to_string(busy[0]) + " and " + std::to_string(busy[1]) + " spot, idle " +
        std::to_string(idle[0]) + " and " + std::to_string(idle[1]) + " spot, booting " + std::to_string(booting) +
-       "; " + std::to_string(pending) + " tasks of " + std::to_string(board.rows.size()) + " jobs without a place");
+       "; " + std::to_string(pending) + " tasks of " + std::to_string(board.rows.size()) + " jobs without a place" +
+       (deferred > 0 ? ", " + std::to_string(deferred) + " of them deferred" : ""));
 }
 
 }  // namespace martenwall
--- /dev/null
+++ b/src/core/scheduler_load.cpp
@@ -0,0 +1,161 @@
+// A shortage: which pending jobs can still be in time (load/triage.hpp), from the machines, the ranks and the limits.
+#include <algorithm>
+#include <limits>
+#include <map>
+
+#include "core/scheduler.hpp"
+#include "load/triage.hpp"
+
+namespace martenwall {
+
+namespace {
+
+constexpr double run_margin = 1.1;  // times the estimate: what runs a little longer is still in time
+constexpr double deferred_for = 2;  // times the last of its times; after that a job is deferred no more
+
+load::Amount amount(const Resources& r) {
+  return {std::max(0.0, r.cpus), std::max(0.0, r.gpus), std::max(0.0, r.memory_gb)};
+}
+
+// The machines by kind, as one rank after another, from the highest, takes of them.
+class Rooms {
+ public:
+  void add(const MachineType& type, const Machine& m) {
+    const auto k = kind_of(kinds_, type, m.zone, m.spot);
+    if (k >= rooms_.size()) rooms_.resize(k + 1);
+    rooms_[k].left.add(type.room);
+    for (const auto& p : m.placements) {
+      if (p.occupies()) rooms_[k].used.at(static_cast<std::size_t>(p.rank)).add(p.need);
+    }
+  }
+
+  [[nodiscard]] std::vector<char> allowed_for(const JobSpec& spec) const { return allowed_kinds(spec, kinds_); }
+  [[nodiscard]] std::size_t kinds() const { return kinds_.size(); }
+
+  // Lower ranks' work can be stopped, so it counts as free.
+  [[nodiscard]] load::Pool pool(const std::vector<char>& allowed, Rank rank) const {
+    Resources room;
+    Resources free;
+    for (std::size_t k = 0; k < rooms_.size(); ++k) {
+      if (allowed[k] == 0) continue;
+      room.add(rooms_[k].left);
+      free.add(rooms_[k].left);
+      free.add(rooms_[k].used.at(static_cast<std::size_t>(rank)), -1);
+    }
+    return {amount(free), amount(room)};
+  }
+
+  // Lower ranks are left what this one neither uses nor waits for.
+  void take_used(Rank rank) {
+    for (auto& r : rooms_) r.left.add(r.used.at(static_cast<std::size_t>(rank)), -1);
+  }
+  void take_wanted(const std::vector<char>& allowed, const Resources& wanted) {
+    double gpus = 0;
+    double cpus = 0;
+    for (std::size_t k = 0; k < rooms_.size(); ++k) {
+      if (allowed[k] == 0) continue;
+      gpus += std::max(0.0, rooms_[k].left.gpus);
+      cpus += std::max(0.0, rooms_[k].left.cpus);
+    }
+    for (std::size_t k = 0; k < rooms_.size(); ++k) {
+      if (allowed[k] == 0) continue;
+      const auto& left = rooms_[k].left;
+      const double part = gpus > 0 ? std::max(0.0, left.gpus) / gpus : cpus > 0 ? std::max(0.0, left.cpus) / cpus : 0;
+      rooms_[k].left.add(wanted, -part);
+    }
+  }
+
+ private:
+  struct Room {
+    Resources left;                 // by the ranks looked at so far
+    std::array<Resources, 4> used;  // by rank
+  };
+  std::vector<MachineKind> kinds_;
+  std::vector<Room> rooms_;
+};
+
+load::Pool pool_of(const Team& team, const Resources& used) {
+  constexpr double any = std::numeric_limits<double>::infinity();
+  const auto free = [](double limit, double in_use) { return limit > 0 ? std::max(0.0, limit - in_use) : any; };
+  const auto room = [](double limit) { return limit > 0 ? limit : any; };
+  return {{free(team.limit.cpus, used.cpus), free(team.limit.gpus, used.gpus), any},
+          {room(team.limit.cpus), room(team.limit.gpus), any}};
+}
+
+}  // namespace
+
+// Seconds from now until its pending tasks must start for each time that the job should meet, tightest first.
+std::vector<double> Scheduler::latest_starts(const Row& row, Time now) const {
+  const auto& job = *row.job;
+  std::vector<double> out;
+  if (const auto aims = setup_.aims.by_lane.find(job.spec.lane); aims != setup_.aims.by_lane.end()) {
+    for (const double within_s : aims->second) out.push_back(to_seconds(job.released - now) + within_s);
+  }
+  if (job.due) {
+    std::vector<double> times{1.0};
+    const auto aims = setup_.aims.deadlines_by_lane.find(job.spec.lane);
+    if (aims != setup_.aims.deadlines_by_lane.end()) times = aims->second;
+    for (const double t : times) {
+      out.push_back(to_seconds(job.submitted - now) + t * to_seconds(*job.due - job.submitted) -
+                    run_margin * row.estimate_s);
+    }
+  }
+  std::ranges::sort(out);
+  return out;
+}
+
+// Rows that are expected to miss times which others of their rank can meet are marked as deferred.
+void Scheduler::tell_apart(Board& board, Time now) {
+  if (board.rows.empty()) return;
+  Rooms rooms;
+  for (const auto& [id, m] : machines_) {
+    const auto* type = type_of(m.type);
+    if (type != nullptr && usable(m, now)) rooms.add(*type, m);
+  }
+  std::vector<load::Pool> pools;
+  std::vector<load::Claim> claims;
+  std::vector<Row*> rows;
+  std::map<std::string, std::size_t> team_pools;
+  std::map<std::string, std::size_t> lanes;
+  for (const auto rank : {Rank::production, Rank::high, Rank::normal, Rank::best_effort}) {
+    std::map<std::vector<char>, std::size_t> kind_pools;
+    const auto add_pool = [&](const std::vector<char>& allowed) {
+      const auto [it, fresh] = kind_pools.try_emplace(allowed, pools.size());
+      if (fresh) pools.push_back(rooms.pool(allowed, rank));
+      return it->second;
+    };
+    const std::vector<char> all(rooms.kinds(), 1);
+    std::vector<std::pair<std::vector<char>, Resources>> wanted;
+    for (auto& row : board.rows) {
+      const auto& job = *row.job;
+      if (job.rank != rank || job.suspect) continue;
+      load::Claim claim;
+      const auto allowed = rooms.allowed_for(job.spec);
+      claim.lane = lanes.try_emplace(job.spec.lane, lanes.size()).first->second;
+      claim.pools.push_back(add_pool(all));
+      if (allowed != all) claim.pools.push_back(add_pool(allowed));
+      if (const auto team = teams_.find(job.spec.team); team != teams_.end()) {
+        const auto [it, fresh] = team_pools.try_emplace(team->first, pools.size());
+        if (fresh) pools.push_back(pool_of(team->second, used_.used(team->first)));
+        claim.pools.push_back(it->second);
+      }
+      claim.need = amount(job.spec.need.times(row.count));
+      claim.run_s = row.estimate_s;
+      claim.latest_start_s = latest_starts(row, now);
+      wanted.emplace_back(allowed, job.spec.need.times(row.count));
+      claims.push_back(std::move(claim));
+      rows.push_back(&row);
+    }
+    rooms.take_used(rank);
+    for (const auto& [allowed, need] : wanted) rooms.take_wanted(allowed, need);
+  }
+  const auto verdicts = load::triage(pools, claims, setup_.policy.shortage_efficiency);
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const auto& times = claims[i].latest_start_s;
+    if (verdicts[i].tier == 0 || times.empty()) continue;
+    const double waited_s = to_seconds(now - rows[i]->job->released);
+    if (waited_s < deferred_for * (waited_s + times.back())) rows[i]->deferred = static_cast<double>(verdicts[i].tier);
+  }
+}
+
+}  // namespace martenwall
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -158,6 +158,7 @@
   setup.teams = ctx_.settings.teams;
   for (const auto& o : ctx_.settings.objectives) {
     if (o.kind == "wait") setup.aims.by_lane[o.lane].push_back(o.within_s);
+    if (o.kind == "deadline") setup.aims.deadlines_by_lane[o.lane].push_back(o.times);
     if (o.kind == "guarantee") setup.aims.guarantee_s = o.within_s;
   }
   setup.token = ctx_.leadership.token();
--- a/tests/architecture_test.cpp
+++ b/tests/architecture_test.cpp
@@ -14,7 +14,8 @@
 
 const std::map<std::string, std::set<std::string>>& allowed() {
   static const std::map<std::string, std::set<std::string>> table{
-      {"core", {}},
+      {"load", {}},
+      {"core", {"load"}},
       {"relay", {"core"}},
       {"metrics", {"core"}},
       {"runtime", {"core"}},
