--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -63,6 +63,11 @@
 
 double f1_of(const Board& board, const Row& row) {
   const auto& job = *row.job;
+  // The curve lets each job wait until it is almost too late: in a shortage all would then be a little late. What is
+  // served with the least work comes first instead, so that as many as can be are in time.
+  if (row.pressing) {
+    return board.policy.deadline_min + *row.pressing * (board.policy.deadline_max - board.policy.deadline_min);
+  }
   if (!job.due) return board.policy.deadline_min;
   // Measured from the submission; the benchmark ratio is 1, so Nxtime is the same on every machine.
   const double extime = to_seconds(board.now - job.submitted) + row.estimate_s;
--- a/src/core/heuristics.hpp
+++ b/src/core/heuristics.hpp
@@ -2,6 +2,7 @@
 // (Capannini et al., "A Job Scheduling Framework for Large Computing Farms", section 4.1).
 #pragma once
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -20,6 +21,8 @@
   bool even = false;       // a gang whose tasks must all have their image, or all fetch it
   bool spot_only = false;  // takes what others leave: keeps off the ordinary machines
   double deferred = 0;     // in a shortage: of the times that it should meet, those that it is expected to miss
+  // In a shortage, of work that can be in time: 0 to 1 in place of the curve's rise, the least work highest.
+  std::optional<double> pressing{};
 };
 
 struct Column {
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -14,12 +14,20 @@
   return row.within_guarantee && victim.team_over && !victim.guaranteed && !p.stray && p.team != spec.team;
 }
 
-double lost_work_s(const JobSpec* spec, const Placement& victim, Time now) {
+double grace_s(const Policy& policy, const JobSpec& spec) {
+  if (spec.checkpoint_s <= 0) return 0;
+  const bool cheaper_unsaved = policy.unsaved_stops && spec.shape != Shape::gang && spec.checkpoint_s / 2 < spec.save_s;
+  return cheaper_unsaved ? 0 : spec.save_s;
+}
+
+double lost_work_s(const Policy& policy, const JobSpec* spec, const Placement& victim, Time now) {
   if (spec == nullptr) return 0;
   if (victim.state() != TaskState::running) return 1.0;
   const double ran = std::max(0.0, to_seconds(now - victim.running_since));
   // A task with checkpoints saves when it is stopped in order: it loses the saving and the restart.
-  const double lost = spec->checkpoint_s > 0 ? spec->save_s + 5.0 : ran + 5.0;
+  const double grace = grace_s(policy, *spec);
+  const double unsaved = spec->checkpoint_s > 0 ? std::min(ran, spec->checkpoint_s / 2) : ran;
+  const double lost = (grace > 0 ? grace : unsaved) + 5.0;
   const double gang = spec->shape == Shape::gang ? spec->tasks : 1;
   return lost * gang * std::max(1.0, spec->need.gpus);
 }
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -36,8 +36,11 @@
 // enough by itself, a higher rank without guarantee and a lower one within it would stop each other
 // in turn for ever.
 bool may_evict(const Row& row, const Victim& victim);
-// `spec` is the victim's job's, or nothing where the job is over.
-double lost_work_s(const JobSpec* spec, const Placement& victim, Time now);
+// Seconds that a lone task is given to save when it is stopped for others: none where what it did since its last
+// checkpoint is on the mean less than the saving takes. Its place is then free at once.
+double grace_s(const Policy& policy, const JobSpec& spec);
+// GPU-seconds. `spec` is the victim's job's, or nothing where the job is over.
+double lost_work_s(const Policy& policy, const JobSpec* spec, const Placement& victim, Time now);
 // Room for `wanted` tasks; of an array also for fewer.
 std::optional<Eviction> plan_eviction(const VictimTable& table, const Row& row, std::uint32_t wanted);
 
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -235,7 +235,7 @@
       if (fresh) it->second = {find_job(p.task.job), board.guaranteed.contains(p.task.job)};
       const auto& [job, guaranteed] = it->second;
       v.victims.push_back({&p, job, guaranteed, over[p.team],
-                           lost_work_s(job != nullptr && !job->ghost ? &job->spec : nullptr, p, now)});
+                           lost_work_s(setup_.policy, job != nullptr && !job->ghost ? &job->spec : nullptr, p, now)});
     }
     std::ranges::stable_sort(v.victims, {}, &Victim::lost);
     table.push_back(std::move(v));
@@ -281,7 +281,7 @@
     const auto victim = jobs_.find(task.job);
     if (victim == jobs_.end()) continue;
     const auto& spec = victim->second.spec;
-    const double grace = spec.checkpoint_s > 0 ? spec.save_s : 0;
+    const double grace = grace_s(setup_.policy, spec);
     longest_save = std::max(longest_save, grace);
     const std::string why = "room for " + id.value();
     // A gang is stopped whole and in order; of an array, only the chosen task.
--- a/src/core/scheduler_load.cpp
+++ b/src/core/scheduler_load.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr double run_margin = 1.1;  // times the estimate: what runs a little longer is still in time
+constexpr double run_margin = 1.4;  // times the estimate: the last of many tasks, a cold image, an owner's error
 constexpr double deferred_for = 2;  // times the last of its times; after that a job is deferred no more
 
 load::Amount amount(const Resources& r) {
@@ -150,12 +150,18 @@
     for (const auto& [allowed, need] : wanted) rooms.take_wanted(allowed, need);
   }
   const auto verdicts = load::triage(pools, claims, setup_.policy.shortage_efficiency);
+  std::vector<std::pair<double, Row*>> in_time;
   for (std::size_t i = 0; i < rows.size(); ++i) {
     const auto& times = claims[i].latest_start_s;
-    if (verdicts[i].tier == 0 || times.empty()) continue;
+    const auto& v = verdicts[i];
+    if (v.in_short_pool && v.tier < times.size() && rows[i]->job->due) in_time.emplace_back(v.work_s, rows[i]);
+    if (v.tier == 0 || times.empty()) continue;
     const double waited_s = to_seconds(now - rows[i]->job->released);
-    if (waited_s < deferred_for * (waited_s + times.back())) rows[i]->deferred = static_cast<double>(verdicts[i].tier);
+    if (waited_s < deferred_for * (waited_s + times.back())) rows[i]->deferred = static_cast<double>(v.tier);
   }
+  std::ranges::stable_sort(in_time, {}, &std::pair<double, Row*>::first);
+  const auto n = static_cast<double>(in_time.size());
+  for (std::size_t i = 0; i < in_time.size(); ++i) in_time[i].second->pressing = 1 - static_cast<double>(i) / n;
 }
 
 }  // namespace martenwall
--- a/src/load/triage.cpp
+++ b/src/load/triage.cpp
@@ -58,6 +58,7 @@
     }
   }
   [[nodiscard]] bool kept(std::size_t i) const { return kept_[i] != 0; }
+  [[nodiscard]] double work_s(std::size_t i) const { return sizes_[i] * claims_[i].run_s; }
   [[nodiscard]] bool was_short(std::size_t pool) const { return books_[pool].was_short; }
 
  private:
@@ -87,7 +88,7 @@
   void enter(std::size_t i) {
     for (const auto pool : claims_[i].pools) {
       auto& lane = books_[pool].lanes[claims_[i].lane];
-      lane.by_work.emplace(sizes_[i] * claims_[i].run_s, i);
+      lane.by_work.emplace(work_s(i), i);
       ++lane.kept;
       ++lane.all;
     }
@@ -156,6 +157,7 @@
   }
   all.pass(std::move(candidates));
   for (std::size_t i = 0; i < claims.size(); ++i) {
+    out[i].work_s = all.work_s(i);
     out[i].in_short_pool = std::ranges::any_of(claims[i].pools, [&](auto p) { return all.was_short(p); });
   }
   return out;
--- a/src/load/triage.hpp
+++ b/src/load/triage.hpp
@@ -35,6 +35,7 @@
   // where nothing that it draws on is short, and for claims that have no times to meet.
   std::size_t tier = 0;
   bool in_short_pool = false;
+  double work_s = 0;  // its largest part of any pool's room, times its run time
 };
 
 // One verdict a claim, in their order. `efficiency`: the part of freed room that becomes running work, 0 to 1; the rest
