--- a/src/core/scheduler_load.cpp
+++ b/src/core/scheduler_load.cpp
@@ -74,14 +74,17 @@
   std::vector<Room> rooms_;
 };
 
+// A limit of 0 binds nothing.
+double unless_unlimited(double limit, double value) {
+  if (limit > 0) return std::max(0.0, value);
+  return std::numeric_limits<double>::infinity();
+}
+
 load::Pool pool_of(const Team& team, const Resources& used) {
-  constexpr double any = std::numeric_limits<double>::infinity();
-  const auto free = [](double limit, double in_use) -> double {
-    return limit > 0 ? std::max(0.0, limit - in_use) : any;
-  };
-  const auto room = [](double limit) -> double { return limit > 0 ? limit : any; };
-  return {{free(team.limit.cpus, used.cpus), free(team.limit.gpus, used.gpus), any},
-          {room(team.limit.cpus), room(team.limit.gpus), any}};
+  const auto& l = team.limit;
+  return {{unless_unlimited(l.cpus, l.cpus - used.cpus), unless_unlimited(l.gpus, l.gpus - used.gpus),
+           unless_unlimited(0, 0)},
+          {unless_unlimited(l.cpus, l.cpus), unless_unlimited(l.gpus, l.gpus), unless_unlimited(0, 0)}};
 }
 
 }  // namespace
