--- a/bench/core_bench.cpp
+++ b/bench/core_bench.cpp
@@ -12,15 +12,17 @@
 
 std::size_t heap_bytes() { return mallinfo2().uordblks + mallinfo2().hblkhd; }
 
-Fleet full(std::size_t machines) {
-  Fleet f{machines, machines * pending_per_machine};
+Fleet full(std::size_t machines, const Policy& policy = {}) {
+  Fleet f{machines, machines * pending_per_machine, policy};
   f.fill();
   return f;
 }
 
-// One machine in twenty has just become free.
+// One machine in twenty has just become free. The second number: `scheduler.shortage.weight`.
 void round_with_pending_work(benchmark::State& state) {
-  Fleet f = full(static_cast<std::size_t>(state.range(0)));
+  Policy policy;
+  policy.shortage_weight = static_cast<double>(state.range(1));
+  Fleet f = full(static_cast<std::size_t>(state.range(0)), policy);
   double longest = 0;
   for (auto _ : state) {
     state.PauseTiming();
@@ -107,7 +109,12 @@
   b->Unit(benchmark::kMillisecond);
 }
 
-BENCHMARK(round_with_pending_work)->Apply(sizes)->Iterations(15);
+void sizes_with_and_without_shortage(benchmark::internal::Benchmark* b) {
+  for (const int n : {28, 200, 1400, 5000, 12500}) b->Args({n, 0})->Args({n, 40});
+  b->Unit(benchmark::kMillisecond);
+}
+
+BENCHMARK(round_with_pending_work)->Apply(sizes_with_and_without_shortage)->Iterations(15);
 BENCHMARK(round_of_a_full_fleet)->Apply(sizes)->Iterations(15);
 BENCHMARK(thousand_reports)->Apply(sizes)->Iterations(20);
 BENCHMARK(take_over)->Apply(sizes)->Iterations(3);
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -10,6 +10,7 @@
 
 Scheduler::Setup Fleet::setup() const {
   Scheduler::Setup s;
+  s.policy = policy_;
   s.terms = {6, 31, 50, 4, 51};
   s.teams = {{"red", {0, 1e6, 0}, {0, 1e6, 0}}, {"blue", {0, 1000, 0}, {0, 1e6, 0}}};
   s.token = Token{7};
@@ -18,7 +19,7 @@
   return s;
 }
 
-Fleet::Fleet(std::size_t machines, std::size_t pending) {
+Fleet::Fleet(std::size_t machines, std::size_t pending, Policy policy) : policy_(std::move(policy)) {
   types_ = {{"big", {48, gpus_a_machine, 288}, 80, 0.6, 10, 3, 45, {"a", "b", "c"}}};
   scheduler_ = std::make_unique<Scheduler>(setup(), [](const std::string&) {});
   scheduler_->set_types(types_);
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -14,7 +14,8 @@
 class Fleet {
  public:
   // `machines`: of 4 GPUs each, all up. `pending`: tasks that find no place, in arrays and gangs of 1 to 16.
-  Fleet(std::size_t machines, std::size_t pending);
+  // `policy`: what the leader weighs by.
+  Fleet(std::size_t machines, std::size_t pending, Policy policy = {});
   // Rounds and reports until nothing more can be placed.
   void fill();
   // Tasks on one machine in `part` complete, and their ends are reported and stored.
@@ -56,6 +57,7 @@
   [[nodiscard]] Scheduler::Setup setup() const;
 
   Time now_{seconds(1000)};
+  Policy policy_;
   std::vector<MachineType> types_;
   std::unique_ptr<Scheduler> scheduler_;
   std::vector<Worker> workers_;
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -68,7 +68,8 @@
   last_submission_ = std::max(last_submission_, now);
   auto id = job.spec.id;
   log_("job " + id.value() + " taken: " + std::to_string(job.spec.tasks) + " tasks of " + job.spec.lane + ", team " +
-       job.spec.team + ", " + std::to_string(job.spec.need.gpus) + " GPUs each, estimated " + std::to_string(job.spec.estimate_s) + " s" +
+       job.spec.team + ", " + std::to_string(job.spec.need.gpus) + " GPUs each, estimated " +
+       std::to_string(job.spec.estimate_s) + " s" +
        (job.due ? ", due in " + std::to_string(to_seconds(*job.due - job.submitted)) + " s" : ""));
   const auto it = jobs_.emplace(std::move(id), std::move(job)).first;
   served_.submitted(it->second.spec.lane, it->second.spec.team);
--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -13,6 +13,10 @@
 
 World::World(std::uint64_t seed, Faults faults) : random_(seed), faults_(faults) {
   policy_.idle_release = seconds(30);
+  if (faults_.shortage) {
+    policy_.shortage_weight = 40;
+    policy_.unsaved_stops = true;
+  }
   teams_ = {{"red", {0, 16, 0}, {0, 40, 0}}, {"blue", {0, 8, 0}, {0, 24, 0}}};
   types_ = {{"big", {48, 4, 288}, 80, 0.6, 10, 3, 20, {"a", "b"}}};
   gate_ = faults_.gate_from_start;
@@ -681,7 +685,7 @@
   s.one_zone = roll() < 0.4;
   s.spot = roll() < 0.5;
   s.estimate_s = 20;
-  s.save_s = 3;
+  s.save_s = faults_.shortage ? 6 : 3;  // beside checkpoints each 10 s the saving costs more than it saves
   s.checkpoint_s = roll() < 0.5 ? 10 : 0;
   if (roll() < 0.5) s.deadline_s = 100;
   s.awaits = some_earlier_jobs();
--- a/tests/simulation.hpp
+++ b/tests/simulation.hpp
@@ -30,6 +30,7 @@
   double limit_fall = 0.004;  // chance a second that the store takes only smaller rows, and fewer at a time
   double late_note = 0.3;     // share of jobs accepted at another node, of which the leader hears later
   bool gate_from_start = false;
+  bool shortage = false;      // what cannot be in time is deferred, lone tasks are stopped unsaved
   bool relays = false;        // a node that does not lead passes reports on to the other
   double link_cut = 0.02;     // chance a second that this fails for a while
   double lost_batch = 0.04;   // on either way
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -99,6 +99,29 @@
   play(seed, f, 900);
 }
 
+// More is wanted than the machines can do, while leaders change: what is deferred is done in the end all the same.
+RC_GTEST_PROP(simulation, keeps_every_rule_in_a_shortage, (std::uint64_t seed)) {
+  sim::Faults f;
+  f.shortage = true;
+  f.machine_death = 0.01;
+  f.node_crash = 0.02;
+  f.held_command = 0.3;
+  play(seed, f, 900);
+}
+
+TEST(simulation, work_is_deferred_in_a_shortage) {
+  std::size_t deferred = 0;
+  for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) {
+    sim::Faults f;
+    f.shortage = true;
+    f.machine_death = 0.01;
+    sim::World world{seed, f};
+    world.trace = [&](const std::string& line) { deferred += line.ends_with(" of them deferred") ? 1 : 0; };
+    world.run(350);
+  }
+  EXPECT_GT(deferred, 0U) << "else the property above would show nothing of it";
+}
+
 TEST(simulation, divisions_refusals_and_cascades_do_happen) {
   std::size_t refused = 0;
   std::size_t divided = 0;
