Tests: two guards of the triage that none missed when taken out by hand

Five mutants of load/triage.cpp: share of classes and largest first were found; what was kept for a first time (not counted later) and a time that is past (met out of free room) were not, and are now; the early return is equivalent but for cost.

--- a/tests/triage_test.cpp
+++ b/tests/triage_test.cpp
@@ -45,6 +45,21 @@
   EXPECT_EQ(2U, v[2].tier) << "the third cannot meet any beside the others";
 }
 
+// Found by taking the guards out by hand: neither of them was missed by the tests above.
+TEST(triage, what_was_kept_for_a_first_time_is_counted_for_later_ones) {
+  const auto third = [](double last_s) {
+    return load::triage({pool(10)}, {claim(10, 10, {20}), claim(10, 10, {20}), claim(11, 10, {20, last_s})}, 1)[2].tier;
+  };
+  EXPECT_EQ(2U, third(25)) << "310 GPU-seconds are more than 25 s free";
+  EXPECT_EQ(1U, third(35));
+}
+
+TEST(triage, a_time_that_is_past_is_not_met_however_much_is_free) {
+  const auto v = load::triage({pool(10, 5)}, {claim(1, 20, {-5, 30}), claim(30, 20, {20})}, 1);
+  EXPECT_TRUE(v[0].in_short_pool);
+  EXPECT_EQ(1U, v[0].tier);
+}
+
 TEST(triage, classes_share_what_is_given_up) {
   std::vector<Claim> claims;
   for (int i = 0; i < 20; ++i) claims.push_back(claim(1, 10, {10}, 0));  // small, many
