--- a/src/core/scheduler_load.cpp
+++ b/src/core/scheduler_load.cpp
@@ -146,6 +146,7 @@
   std::vector<Row*> rows;
   std::map<std::string, std::size_t> team_pools;
   std::map<std::string, std::size_t> lanes;
+  Ledger limits = used_;
   for (const auto rank : {Rank::production, Rank::high, Rank::normal, Rank::best_effort}) {
     std::map<std::vector<char>, std::size_t> kind_pools;
     const auto add_pool = [&](const std::vector<char>& allowed) {
@@ -171,7 +172,11 @@
       claim.need = amount(job.spec.need.times(row.count));
       claim.run_s = row.estimate_s;
       claim.latest_start_s = latest_starts(row, now);
-      wanted.emplace_back(allowed, job.spec.need.times(row.count));
+      // No more than its team's limit lets it start: arrays of thousands of tasks in teams of hundreds of CPUs would else
+      // leave the lower ranks nothing, and what these can do in time would be given up.
+      const auto can_start = std::min(row.count, limits.room_for(job.spec.team, job.spec.need));
+      limits.add(job.spec.team, job.spec.need, can_start);
+      wanted.emplace_back(allowed, job.spec.need.times(can_start));
       claims.push_back(std::move(claim));
       rows.push_back(&row);
     }
