--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -150,6 +150,7 @@
   const auto count = [](int& to) { return [&to](double v) { to = static_cast<int>(v); }; };
   std::map<std::string, Setter> out{
       {"scheduler.round.seconds", duration(p.round)},
+      {"scheduler.limits.leave", [&p](double v) { p.leave_limits = v != 0; }},
       {"scheduler.unsaved.stops", [&p](double v) { p.unsaved_stops = v != 0; }},
       {"scheduler.direct.starts", [&p](double v) { p.direct_starts = v != 0; }},
       {"scheduler.error.limit", count(p.error_limit)},
--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
+#include <limits>
+#include <numeric>
 
 #include "core/heuristic_table.hpp"
 
@@ -239,6 +242,63 @@
   }
 }
 
+namespace {
+
+// What each row is worth on an empty machine, whether one is free now or not.
+std::vector<double> worth_of_rows(const Board& board, const std::vector<MachineType>& types) {
+  std::deque<Machine> machines;
+  Board empty{board.now, board.policy, board.rows, {}};
+  for (const auto& type : types) {
+    for (const auto& zone : type.zones) {
+      machines.emplace_back(MachineId{}).zone = zone;
+      empty.add({&machines.back(), &type, type.room, 1, Rank::best_effort});
+    }
+  }
+  const auto matrix = build_matrix(empty);
+  std::vector<double> out(board.rows.size(), std::numeric_limits<double>::lowest());
+  for (std::size_t r = 0; r < out.size(); ++r) {
+    for (std::size_t c = 0; c < empty.columns.size(); ++c) {
+      if (matrix.allowed(r, c)) out[r] = std::max(out[r], matrix.at(r, c));
+    }
+  }
+  return out;
+}
+
+bool needs_more(const Resources& a, const Resources& b) { return a.cpus > b.cpus || a.gpus > b.gpus; }
+
+bool limit_binds(const Board& board, Ledger used) {
+  return std::ranges::any_of(board.rows, [&](const Row& row) {
+    const auto& spec = row.job->spec;
+    const auto can_start = std::min(row.count, used.room_for(spec.team, spec.need));
+    used.add(spec.team, spec.need, can_start);
+    return can_start < row.count;
+  });
+}
+
+}  // namespace
+
+void leave_limits(Board& board, Ledger used, const std::vector<MachineType>& types) {
+  if (!limit_binds(board, used)) return;
+  const auto worth = worth_of_rows(board, types);
+  std::vector<std::size_t> order(board.rows.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  std::ranges::stable_sort(order, [&](auto a, auto b) { return worth[a] > worth[b]; });
+  std::map<std::string, const Job*> waits;  // of each team the best row that its limit does not let start whole
+  for (const auto r : order) {
+    auto& row = board.rows[r];
+    const auto& spec = row.job->spec;
+    if (row.job->suspect) continue;
+    const auto best = waits.find(spec.team);
+    if (best != waits.end()) {
+      if (needs_more(best->second->spec.need, spec.need)) row.leaves = best->second->spec.need;
+      continue;
+    }
+    const auto can_start = std::min(row.count, used.room_for(spec.team, spec.need));
+    used.add(spec.team, spec.need, can_start);
+    if (can_start < row.count && spec.shape != Shape::gang) waits.emplace(spec.team, row.job);
+  }
+}
+
 Matrix build_matrix(const Board& board) {
   Matrix m{board.rows.size(), board.columns.size()};
   for (const auto& h : heuristic_table()) h.add(board, m);
--- a/src/core/heuristics.hpp
+++ b/src/core/heuristics.hpp
@@ -23,6 +23,7 @@
   double deferred = 0;     // in a shortage: of the times that it should meet, those that it is expected to miss
   // In a shortage, of work that can be in time: 0 to 1 in place of the curve's rise, the least work highest.
   std::optional<double> pressing{};
+  Resources leaves{};  // of its team's limit, to a row that goes before it and needs more for one task
 };
 
 struct Column {
@@ -97,6 +98,10 @@
 // there meanwhile, and its image would share the machine's fetch with theirs.
 void hold_for_gangs(Board& board, Ledger used);
 
+// Of each team the best row that its limit keeps waiting: rows after it that need less leave it room for one task.
+// What comes free of a limit comes in the size of the tasks that end, and small ones would take it for ever.
+void leave_limits(Board& board, Ledger used, const std::vector<MachineType>& types);
+
 Matrix build_matrix(const Board& board);
 
 }  // namespace martenwall
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -16,11 +16,13 @@
     const auto it = used_.find(team);
     return it == used_.end() ? Resources{} : it->second;
   }
-  // How many tasks of this need the team may add without passing its limit.
-  [[nodiscard]] std::uint32_t room_for(const std::string& team, const Resources& need) const {
+  // How many tasks of this need the team may add without passing its limit, or what is to be left free of it.
+  [[nodiscard]] std::uint32_t room_for(const std::string& team, const Resources& need,
+                                       const Resources& left = {}) const {
     const auto it = teams_.find(team);
     if (it == teams_.end()) return 0;
-    const auto u = used(team);
+    auto u = used(team);
+    u.add(left);
     return std::min(fits(it->second.limit.cpus, u.cpus, need.cpus), fits(it->second.limit.gpus, u.gpus, need.gpus));
   }
   [[nodiscard]] bool over_guarantee(const std::string& team) const {
--- a/src/core/matcher.cpp
+++ b/src/core/matcher.cpp
@@ -116,8 +116,8 @@
   const auto& spec = r.job->spec;
   const auto& c = board_.columns[column];
   // Team limits clear the entry.
-  return r.count > 0 && c.slots > 0 && spec.need.fits_in(c.free) && ledger_.room_for(spec.team, spec.need) > 0 &&
-         zone_allows(spec, zones_[row], c.machine->zone);
+  return r.count > 0 && c.slots > 0 && spec.need.fits_in(c.free) &&
+         ledger_.room_for(spec.team, spec.need, r.leaves) > 0 && zone_allows(spec, zones_[row], c.machine->zone);
 }
 
 bool Matcher::place_one(std::size_t row, std::size_t column) {
@@ -167,7 +167,7 @@
 
 bool Matcher::place_gang(std::size_t row) {
   const auto& spec = board_.rows[row].job->spec;
-  if (ledger_.room_for(spec.team, spec.need) < spec.tasks) return false;
+  if (ledger_.room_for(spec.team, spec.need, board_.rows[row].leaves) < spec.tasks) return false;
   std::vector<std::size_t> best;
   if (!spec.one_zone) {
     if (!pick_gang_columns(row, nullptr, best)) return false;
--- a/src/core/policy.cpp
+++ b/src/core/policy.cpp
@@ -29,6 +29,7 @@
       guest_patience(seconds(600)),
       guest_patience_without_spot(seconds(60)),
       direct_starts(true),
+      leave_limits(false),
       unsaved_stops(false),
       error_limit(2),
       suspect_machines(3),
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -39,6 +39,7 @@
   Duration guest_patience;  // so long a team without guarantee keeps to spot machines
   Duration guest_patience_without_spot;  // the same where there is no spot machine at all
   bool direct_starts;
+  bool leave_limits;     // a row that its team's limit keeps waiting is left room for one task by those after it
   bool unsaved_stops;    // a lone task is stopped for others without saving where that costs less
   int error_limit;       // failures in a row of different jobs: quarantine
   int suspect_machines;  // a job that failed on so many, with nothing done, is suspect
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -173,6 +173,7 @@
   auto board = make_board(now);
   work_ = {board.rows.size(), board.columns.size(), 0};
   hold_for_gangs(board, used_);
+  if (setup_.policy.leave_limits) leave_limits(board, used_, types_);
   auto matrix = build_matrix(board);
   auto used = used_;
   Matcher matcher{board, matrix, used, machines_};
--- a/src/core/scheduler_load.cpp
+++ b/src/core/scheduler_load.cpp
@@ -172,8 +172,8 @@
       claim.need = amount(job.spec.need.times(row.count));
       claim.run_s = row.estimate_s;
       claim.latest_start_s = latest_starts(row, now);
-      // No more than its team's limit lets it start: arrays of thousands of tasks in teams of hundreds of CPUs would else
-      // leave the lower ranks nothing, and what these can do in time would be given up.
+      // No more than its team's limit lets it start: arrays of thousands of tasks in teams of hundreds of CPUs would
+      // else leave the lower ranks nothing, and what these can do in time would be given up.
       const auto can_start = std::min(row.count, limits.room_for(job.spec.team, job.spec.need));
       limits.add(job.spec.team, job.spec.need, can_start);
       wanted.emplace_back(allowed, job.spec.need.times(can_start));
