--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/done_set.hpp"
+#include "core/ears.hpp"
 #include "core/types.hpp"
 
 namespace martenwall {
@@ -155,7 +156,9 @@
   std::optional<JobId> reserved_for;
   Time reserved_until{};
   Time no_starts_before{};
-  Time wanted_until{};        // a job that waits for further machines counts on it
+  Time wanted_until{};  // a job that waits for further machines counts on it
+  Ears ears;
+  bool answered = false;      // by this leadership
   std::set<JobId> blamed_by;  // jobs that failed here since a task last completed here
   Time judged_at{};           // no sooner is it decided whether the fault is its own
   bool quarantined = false;
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -108,7 +108,7 @@
 }
 
 bool Scheduler::usable(const Machine& m, Time now) const {
-  if (!m.takes_starts() || m.quarantined || m.taken_at || now < m.no_starts_before) return false;
+  if (!m.takes_starts() || !m.ears.hears() || m.quarantined || m.taken_at || now < m.no_starts_before) return false;
   // A silent machine may be dead: nothing new goes there until it speaks.
   return now - m.last_heard <= seconds(setup_.terms.report_s * 2.2);
 }
@@ -373,6 +373,8 @@
 
 void Scheduler::plan_releases(Time now) {
   std::vector<Machine*> idle;
+  const auto deaf_ones = std::ranges::count_if(machines_, [](const auto& m) { return m.second.ears.deaf(); });
+  const bool few_deaf = static_cast<std::size_t>(deaf_ones) * 4 <= machines_.size();
   for (auto& [id, m] : machines_) {
     const auto* type = type_of(m.type);
     const double boot = type != nullptr ? type->boot_s : 60;
@@ -384,10 +386,14 @@
     // boots; one that is dead is listed as failed by then and goes at once (on_list). Machines of a zone that was cut
     // off for 56 s were returned 26 s before it healed.
     const bool dead = phase == MachinePhase::lost && now - m.phase_since > setup_.policy.lost_patience;
-    if (never_came || drained || dead) {
-      log_("machine " + id.value() + " to be released: " + std::string{name_of(phase)});
+    // One that hears nothing is of no use, and costs as much as another; but where many are deaf the fault is
+    // elsewhere.
+    const bool deaf = phase == MachinePhase::up && m.ears.deaf() && m.empty() && few_deaf &&
+                      now - m.ears.since() > setup_.policy.lost_patience;
+    if (never_came || drained || dead || deaf) {
+      log_("machine " + id.value() + " to be released: " + (deaf ? "deaf" : std::string{name_of(phase)}));
       m.enter(MachinePhase::releasing, now);
-    } else if (phase == MachinePhase::up && m.seen && m.empty() && !m.reserved_for) {
+    } else if (phase == MachinePhase::up && m.seen && m.ears.hears() && m.empty() && !m.reserved_for) {
       idle.push_back(&m);
     }
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -12,6 +12,7 @@
 constexpr Duration tombstone_life = seconds(600);
 // Ends of an array's tasks wait a moment for each other: only the last one is awaited by a user.
 constexpr Duration end_delay = seconds(1.2);
+constexpr std::size_t max_probes = 8;    // at once, of machines that may be deaf
 constexpr std::size_t max_orders = 300;  // in one answer: a line of it may have 64 KiB
 }  // namespace
 
@@ -168,6 +169,11 @@
   if (!m.seen && r.session < m.session) return {};
   m.last_heard = now;
   if (source == ReportSource::beat) m.last_beat = now;
+  // Its session can only have ended if no answer reached it, or if it was restarted.
+  const bool was_answered = m.seen && now - m.last_ok < seconds(setup_.terms.lease_s / 2);
+  const bool lapsed = was_answered && r.session > m.session;
+  // One report is in flight at a time: this one was sent after the answer to the last came, or was given up.
+  const bool unheard = source == ReportSource::beat && m.answered && r.token < setup_.token;
   // What the store says of a machine's session may be older than what it says of its tasks, or missing: until the
   // machine has reported to this leader, another session proves nothing (the simulation found tasks started twice).
   if (m.seen && r.session != m.session) new_session(m, r, now);
@@ -186,8 +192,9 @@
     stale_ = true;
   }
   if (r.notice_s) notice(m, *r.notice_s, now);
-  take_task_reports(m, r, now);
-  take_absences(m, r, source, now);
+  const bool took_up = take_task_reports(m, r, now);
+  const bool missed = take_absences(m, r, source, now);
+  listen(m, r, took_up || source == ReportSource::direct, lapsed || unheard || missed, now);
   sweep(m);
   if (source == ReportSource::direct) return {};
   auto orders = orders_for(m, r.tick, now, proven);
@@ -202,7 +209,17 @@
 
 void Scheduler::answered(const MachineId& id, Time now) {
   const auto it = machines_.find(id);
-  if (it != machines_.end()) it->second.last_ok = std::max(it->second.last_ok, now);
+  if (it == machines_.end()) return;
+  it->second.last_ok = std::max(it->second.last_ok, now);
+  it->second.answered = true;
+}
+
+// An earlier leader's tasks on a deaf machine would count as there for as long as it is "answered": it never shows that
+// it knows this token. Left without answers its lease has surely ended soon, and they can start elsewhere.
+bool Scheduler::leaves_unanswered(const MachineId& id) const {
+  const auto it = machines_.find(id);
+  if (it == machines_.end() || !it->second.ears.deaf()) return false;
+  return std::ranges::any_of(it->second.placements, [](const Placement& p) { return p.inherited && p.occupies(); });
 }
 
 void Scheduler::new_session(Machine& m, const WorkerReport& /*r*/, Time now) {
@@ -220,7 +237,8 @@
   sweep(m);
 }
 
-void Scheduler::take_task_reports(Machine& m, const WorkerReport& r, Time now) {
+bool Scheduler::take_task_reports(Machine& m, const WorkerReport& r, Time now) {
+  bool took_up = false;
   for (const auto& t : r.tasks) {
     auto* p = m.find(t.task, t.attempt);
     if (p == nullptr || p->gone) {
@@ -228,6 +246,7 @@
       continue;
     }
     if (p->state() == TaskState::ended) continue;
+    took_up = took_up || !p->seen();
     p->inherited = false;
     p->sent_tick.reset();
     if (t.state == TaskState::ended) {
@@ -236,6 +255,7 @@
       on_progress(m, *p, t, now);
     }
   }
+  return took_up;
 }
 
 void Scheduler::on_progress(Machine& m, Placement& p, const TaskReport& t, Time now) {
@@ -295,9 +315,10 @@
   add(m, std::move(p));
 }
 
-void Scheduler::take_absences(Machine& m, const WorkerReport& r, ReportSource source, Time now) {
+bool Scheduler::take_absences(Machine& m, const WorkerReport& r, ReportSource source, Time now) {
   std::set<std::pair<TaskId, Attempt>> present;
   for (const auto& t : r.tasks) present.emplace(t.task, t.attempt);
+  bool missed = false;
   for (auto& p : m.placements) {
     if (p.gone || present.contains({p.task, p.attempt})) continue;
     if (p.state() == TaskState::ended) {
@@ -311,11 +332,34 @@
       // One report is in flight at a time: a later report without the task shows that the
       // response that carried its start was not executed, and it will not be.
       p.sent_tick.reset();
+      missed = true;
     }
     if (!p.gone && !p.seen() && !p.inherited && p.stop_wanted && !p.in_flight()) {
       vacate(m, p, now, "withdrawn");
     }
   }
+  return missed;
+}
+
+// Whether the machine hears. What was not started on a deaf one, and cannot start late either, goes elsewhere; what
+// runs there is lost only when its session ends, which its reports tell.
+void Scheduler::listen(Machine& m, const WorkerReport& r, bool heard, bool missed, Time now) {
+  const auto before = m.ears.state();
+  m.ears.reported(r.session, seconds(setup_.terms.lease_s * drift_allowance) + setup_.policy.margin, now);
+  if (heard) m.ears.heard(now);
+  if (missed && !heard) m.ears.missed(now);
+  if (m.ears.state() != before) {
+    stale_ = true;
+    if (m.ears.deaf() || before == EarState::deaf) {
+      log_("machine " + m.id.value() + " " + std::string{name_of(m.ears.state())});
+    }
+  }
+  if (!m.ears.hears()) touched_.insert(m.id);
+  if (!m.ears.deaf()) return;
+  for (auto& p : m.placements) {
+    const bool can_start = p.seen() || p.in_flight() || p.inherited;
+    if (p.occupies() && !can_start) vacate(m, p, now, "its machine does not hear");
+  }
 }
 
 void Scheduler::give_back(Machine& m, const Placement& p, Time now) {
@@ -546,6 +590,7 @@
 std::vector<DirectBatch> Scheduler::take_direct(Time now) {
   std::vector<DirectBatch> out;
   if (!setup_.policy.direct_starts) return out;
+  std::size_t probes = 0;
   for (const auto& id : std::exchange(touched_, {})) {
     const auto it = machines_.find(id);
     if (it == machines_.end()) continue;
@@ -567,7 +612,9 @@
         batch.orders.push_back({Order::Verb::start, p.task, p.attempt, 0});
       }
     }
-    if (!batch.orders.empty()) out.push_back(std::move(batch));
+    const bool probe = probes < max_probes && m.ears.takes_probe(now);
+    if (probe) ++probes;
+    if (probe || !batch.orders.empty()) out.push_back(std::move(batch));
   }
   return out;
 }
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -72,6 +72,8 @@
   [[nodiscard]] bool is_gone(const MachineId& id) const { return gone_.contains(id); }
   [[nodiscard]] std::size_t heard_since(Time t) const;  // workers that reported by themselves
   void answered(const MachineId& id, Time now);         // a 200 is going out now
+  // It is not to be answered: what an earlier leader left there is to end with its lease.
+  [[nodiscard]] bool leaves_unanswered(const MachineId& id) const;
   std::vector<DirectBatch> take_direct(Time now);
   void on_direct(const DirectBatch& batch, DirectOutcome outcome, Time now);
   [[nodiscard]] std::vector<DirectBatch> announcements() const;  // machines not heard of yet
@@ -163,8 +165,11 @@
   void settle(Machine& m, Placement& p);
   Machine& machine_for(const WorkerReport& report, Time now);
   void new_session(Machine& m, const WorkerReport& r, Time now);
-  void take_task_reports(Machine& m, const WorkerReport& r, Time now);
-  void take_absences(Machine& m, const WorkerReport& r, ReportSource source, Time now);
+  // Is anything there that was not, so that it heard of it?
+  bool take_task_reports(Machine& m, const WorkerReport& r, Time now);
+  // Of what the answer to an earlier report told it to start, is anything missing?
+  bool take_absences(Machine& m, const WorkerReport& r, ReportSource source, Time now);
+  void listen(Machine& m, const WorkerReport& r, bool heard, bool missed, Time now);
   void on_stray(Machine& m, const TaskReport& t, Time now);
   void on_progress(Machine& m, Placement& p, const TaskReport& t, Time now);
   void on_exit(Machine& m, Placement& p, const TaskReport& t, Time now);
--- a/src/service/worker_service.cpp
+++ b/src/service/worker_service.cpp
@@ -37,6 +37,7 @@
   if (ctx_.scheduler->is_gone(report.machine)) return {ReportAnswer::Kind::gone, {}};
   ReportAnswer out{ReportAnswer::Kind::orders, {}};
   out.orders = ctx_.scheduler->on_report(report, ReportSource::beat, now, ctx_.leadership.proven(now));
+  if (ctx_.scheduler->leaves_unanswered(report.machine)) return {ReportAnswer::Kind::gone, {}};
   // From here its lease may be renewed. It counts from the sending of the report, which lies before this moment,
   // however long the answer takes and whichever node hands it over.
   ctx_.scheduler->answered(report.machine, ctx_.loop.refresh());
@@ -105,7 +106,7 @@
     if (r.status == 409 || r.status == 400) outcome = DirectOutcome::refused;
   }
   ctx_.scheduler->on_direct(batch, outcome, ctx_.now());
-  if (outcome == DirectOutcome::unknown) {
+  if (outcome == DirectOutcome::unknown && !batch.orders.empty()) {
     ctx_.log->info("direct command to {} unanswered: it may still be executed", batch.machine.value());
   }
   if (report && report->token <= ctx_.leadership.token()) {
--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -42,7 +42,10 @@
   faulty_ = false;
   for (auto& n : nodes_) n.cut_until = std::min(n.cut_until, now_);
   for (auto& n : nodes_) n.frozen_until = std::min(n.frozen_until, now_);
-  for (auto& [id, w] : workers_) w.cut_until = std::min(w.cut_until, now_);
+  for (auto& [id, w] : workers_) {
+    w.cut_until = std::min(w.cut_until, now_);
+    w.deaf_until = std::min(w.deaf_until, now_);
+  }
   link_cut_until_ = std::min(link_cut_until_, now_);
 }
 
@@ -89,13 +92,15 @@
       ++n.life;
       n.flushing = 0;
       n.cancels.clear();
-      n.down_until = now_ + seconds(8);
+      const bool quick = faults_.quick_return > 0 && roll() < faults_.quick_return;
+      n.down_until = now_ + seconds(quick ? between(0, 0.5) : 8);
     }
     if (roll() < faults_.node_freeze * s) freeze(n);
     if (roll() < faults_.state_cut * s) n.cut_until = now_ + seconds(between(2, 60));
   }
   if (faults_.relays && roll() < faults_.link_cut * s) link_cut_until_ = now_ + seconds(between(1, 40));
   for (auto& [id, w] : workers_) {
+    if (faults_.deaf > 0 && roll() < faults_.deaf * s) w.deaf_until = now_ + seconds(between(3, 120));
     if (roll() < faults_.worker_cut * s) w.cut_until = now_ + seconds(between(2, 60));
     if (roll() < faults_.machine_death * s) {
       w.alive = false;
@@ -347,7 +352,8 @@
 
 std::optional<DirectOutcome> World::deliver_direct(Token token, const DirectBatch& batch, WorkerReport& report) {
   const auto it = workers_.find(batch.machine);
-  if (it == workers_.end() || !it->second.alive || now_ < it->second.boots || now_ < it->second.cut_until) {
+  if (it == workers_.end() || !it->second.alive || now_ < it->second.boots || now_ < it->second.cut_until ||
+      now_ < it->second.deaf_until) {
     return std::nullopt;
   }
   Worker& w = it->second;
@@ -400,6 +406,9 @@
   if (now_ < w.cut_until && !held) return;
   const Time arrives = std::max(now_, w.cut_until) + seconds(held ? between(1, 90) : between(wire_low, wire_high));
   at(arrives, [this, target = w.target, report, no] { receive_report(target, report, no); });
+  if (!faulty_ || faults_.late_copy <= 0 || roll() >= faults_.late_copy) return;
+  const auto other = random_() % nodes_.size();
+  at(now_ + seconds(between(1, 3 * terms_.lease_s)), [this, other, report, no] { receive_report(other, report, no); });
 }
 
 void World::receive_report(std::size_t node, const WorkerReport& report, std::uint64_t no) {
@@ -441,6 +450,7 @@
   if (n.scheduler != nullptr && report.token > n.leadership->token()) step_down(n);
   if (n.scheduler != nullptr && n.leadership->serves_workers(now_) && !n.scheduler->is_gone(report.machine)) {
     a.orders = n.scheduler->on_report(report, ReportSource::beat, now_, n.leadership->proven(now_));
+    if (n.scheduler->leaves_unanswered(report.machine)) return {};
     n.scheduler->answered(report.machine, now_);
     note("answer " + report.machine.value(), a.orders);
     a.token = n.leadership->token();
@@ -501,7 +511,10 @@
   const auto it = workers_.find(id);
   if (it == workers_.end()) return;
   Worker& w = it->second;
-  if (!w.alive || !w.waiting_since || no != w.report_no || session != w.session || now_ < w.cut_until) return;
+  if (!w.alive || !w.waiting_since || no != w.report_no || session != w.session || now_ < w.cut_until ||
+      now_ < w.deaf_until) {
+    return;
+  }
   const Time sent = *w.waiting_since;
   w.waiting_since.reset();
   if (!ok) {
--- a/tests/simulation.hpp
+++ b/tests/simulation.hpp
@@ -29,6 +29,9 @@
   double gate = 0.02;         // chance a second that all nodes are found to read rows that name their runs
   double limit_fall = 0.004;  // chance a second that the store takes only smaller rows, and fewer at a time
   double late_note = 0.3;     // share of jobs accepted at another node, of which the leader hears later
+  double deaf = 0;            // chance a second that answers and commands stop reaching a machine that is heard
+  double late_copy = 0;       // share of reports of which a copy comes later, up to three leases, at any node
+  double quick_return = 0;    // share of crashes after which a controller is back within half a second
   bool gate_from_start = false;
   bool shortage = false;      // what cannot be in time is deferred, lone tasks are stopped unsaved
   bool relays = false;        // a node that does not lead passes reports on to the other
@@ -75,7 +78,7 @@
     Session session{1};
     Tick tick{0};
     Token token{0};
-    Time last_ok{}, next_report{}, cut_until{}, boots{};
+    Time last_ok{}, next_report{}, cut_until{}, deaf_until{}, boots{};
     std::optional<Time> waiting_since;  // a report is in flight
     std::uint64_t report_no = 0;
     std::size_t target = 0;
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -99,6 +99,29 @@
   play(seed, f, 900);
 }
 
+// Machines that are heard and hear nothing, copies of their reports up to three leases late, also at the next leader.
+RC_GTEST_PROP(simulation, keeps_every_rule_with_deaf_machines_and_late_copies, (std::uint64_t seed)) {
+  sim::Faults f;
+  f.deaf = 0.02;
+  f.late_copy = 0.3;
+  f.relays = true;
+  f.node_crash = 0.01;
+  f.held_command = 0.3;
+  play(seed, f, 900);
+}
+
+// Controllers that are back before anyone missed them, in the middle of elections too.
+RC_GTEST_PROP(simulation, keeps_every_rule_through_quick_returns, (std::uint64_t seed)) {
+  sim::Faults f;
+  f.quick_return = 0.8;
+  f.node_crash = 0.06;
+  f.late_copy = 0.2;
+  f.deaf = 0.005;
+  f.held_command = 0.3;
+  f.state_cut = 0.03;
+  play(seed, f, 900);
+}
+
 // More is wanted than the machines can do, while leaders change: what is deferred is done in the end all the same.
 RC_GTEST_PROP(simulation, keeps_every_rule_in_a_shortage, (std::uint64_t seed)) {
   sim::Faults f;
