--- a/src/core/scheduler_load.cpp
+++ b/src/core/scheduler_load.cpp
@@ -84,7 +84,8 @@
   const auto& l = team.limit;
   return {{unless_unlimited(l.cpus, l.cpus - used.cpus), unless_unlimited(l.gpus, l.gpus - used.gpus),
            unless_unlimited(0, 0)},
-          {unless_unlimited(l.cpus, l.cpus), unless_unlimited(l.gpus, l.gpus), unless_unlimited(0, 0)}};
+          {unless_unlimited(l.cpus, l.cpus), unless_unlimited(l.gpus, l.gpus), unless_unlimited(0, 0)},
+          true};
 }
 
 }  // namespace
@@ -191,7 +192,10 @@
     const auto& times = claims[i].latest_start_s;
     const auto& v = verdicts[i];
     const auto met = static_cast<double>(times.size() - v.tier);
-    if (v.in_short_pool && met > 0 && rows[i]->job->due)
+    // Where only a team's limit is short, its arrays without a deadline have times to meet as well, and none of them
+    // can take a machine that others of higher rank then take back.
+    const bool by_aims = !v.machines_short && rows[i]->job->spec.shape == Shape::array && !times.empty();
+    if (v.in_short_pool && met > 0 && (rows[i]->job->due || by_aims))
       by_worth.emplace_back(-met / std::max(v.work_s, 1e-9), rows[i]);
     if (v.tier == 0 || (met > 0 && rows[i]->job->due)) continue;
     const double waited_s = to_seconds(now - rows[i]->job->released);
--- a/src/load/triage.cpp
+++ b/src/load/triage.cpp
@@ -158,7 +158,10 @@
   all.pass(std::move(candidates));
   for (std::size_t i = 0; i < claims.size(); ++i) {
     out[i].work_s = all.work_s(i);
-    out[i].in_short_pool = std::ranges::any_of(claims[i].pools, [&](auto p) { return all.was_short(p); });
+    for (const auto p : claims[i].pools) {
+      out[i].in_short_pool = out[i].in_short_pool || all.was_short(p);
+      out[i].machines_short = out[i].machines_short || (all.was_short(p) && !pools[p].limit);
+    }
   }
   return out;
 }
--- a/src/load/triage.hpp
+++ b/src/load/triage.hpp
@@ -17,8 +17,9 @@
 
 // Room that some claims draw on together: all machines, those of some kinds, or what a team's limit leaves.
 struct Pool {
-  Amount free{};  // can be taken now
-  Amount room{};  // in all, in use by the same claims' jobs or free; what does not bound them is infinite
+  Amount free{};       // can be taken now
+  Amount room{};       // in all, in use by the same claims' jobs or free; what does not bound them is infinite
+  bool limit = false;  // of a team, not machines
 };
 
 // What is pending of one job.
@@ -35,7 +36,8 @@
   // where nothing that it draws on is short, and for claims that have no times to meet.
   std::size_t tier = 0;
   bool in_short_pool = false;
-  double work_s = 0;  // its largest part of any pool's room, times its run time
+  bool machines_short = false;  // one of these is not a team's limit
+  double work_s = 0;            // its largest part of any pool's room, times its run time
 };
 
 // One verdict a claim, in their order. `efficiency`: the part of freed room that becomes running work, 0 to 1; the rest
