--- a/src/core/heuristic_table.cpp
+++ b/src/core/heuristic_table.cpp
@@ -20,6 +20,8 @@
 constexpr std::array spot_weights{HeuristicWeight{"scheduler.spot.weight", &Policy::spot_weight}};
 constexpr std::array shortage_weights{HeuristicWeight{"scheduler.shortage.weight", &Policy::shortage_weight}};
 
+constexpr std::array begin_weights{HeuristicWeight{"scheduler.begin.weight", &Policy::begin_weight}};
+
 constexpr std::array table{
     Heuristic{"Minimal requirements", heuristics::minimal_requirements, {}, "where a task fits at all"},
     Heuristic{"Deadline", heuristics::deadline, deadline_weights, "the deadline curve f1"},
@@ -33,6 +35,8 @@
     Heuristic{"Spot", heuristics::spot_preference, spot_weights, "spot machines, for jobs that may use them"},
     Heuristic{"Shortage", heuristics::shortage, shortage_weights,
               "where not all can be in time: less for each time that a job is expected to miss; 0: off"},
+    Heuristic{"Beginning", heuristics::beginning, begin_weights,
+              "the first task of an array of which nothing began for two minutes; 0: off"},
     Heuristic{"Suspicion", heuristics::suspicion, {}, "jobs that fail wherever they go come last"},
 };
 
--- a/src/core/heuristics.cpp
+++ b/src/core/heuristics.cpp
@@ -176,6 +176,12 @@
   add_per_row(board, m, [&](const Row& row) { return -board.policy.shortage_weight * row.deferred; });
 }
 
+// However much is wanted, each job begins: its users are told that the largest too begin within four minutes.
+void beginning(const Board& board, Matrix& m) {
+  if (board.policy.begin_weight <= 0) return;
+  add_per_row(board, m, [&](const Row& row) { return row.overdue ? board.policy.begin_weight : 0.0; });
+}
+
 // Jobs that fail wherever they go take what the others leave.
 void suspicion(const Board& board, Matrix& m) {
   constexpr double last = 1000;
--- a/src/core/heuristics.hpp
+++ b/src/core/heuristics.hpp
@@ -23,7 +23,8 @@
   double deferred = 0;     // in a shortage: of the times that it should meet, those that it is expected to miss
   // In a shortage, of work that can be in time: 0 to 1 in place of the curve's rise, the least work highest.
   std::optional<double> pressing{};
-  Resources leaves{};  // of its team's limit, to a row that goes before it and needs more for one task
+  bool overdue = false;  // nothing of it began for long: this is about its first task alone
+  Resources leaves{};    // of its team's limit, to a row that goes before it and needs more for one task
 };
 
 struct Column {
@@ -91,6 +92,7 @@
 void packing(const Board& board, Matrix& m);
 void spot_preference(const Board& board, Matrix& m);
 void shortage(const Board& board, Matrix& m);
+void beginning(const Board& board, Matrix& m);
 void suspicion(const Board& board, Matrix& m);
 }  // namespace heuristics
 
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -48,6 +48,14 @@
   std::vector<std::string> zones;
 };
 
+// How much of such a machine a need takes, in its GPUs, or in its CPUs where it has none.
+inline double size_on(const MachineType& type, const Resources& need) {
+  const auto part = [](double of, double n) { return of > 0 ? n / of : 0.0; };
+  const double dominant = std::max(
+      {part(type.room.cpus, need.cpus), part(type.room.gpus, need.gpus), part(type.room.memory_gb, need.memory_gb)});
+  return dominant * (type.room.gpus > 0 ? type.room.gpus : type.room.cpus);
+}
+
 struct Team {
   std::string name;
   Resources guarantee, limit;  // memory unused; 0 in `limit` of a kind means none may be used
--- a/src/core/policy.cpp
+++ b/src/core/policy.cpp
@@ -14,6 +14,7 @@
       guarantee_weight(3.0),
       packing_weight(1.0),
       spot_weight(0.5),
+      begin_weight(0),
       shortage_weight(0),
       shortage_efficiency(0.8),
       round(seconds(1)),
--- a/src/core/policy.hpp
+++ b/src/core/policy.hpp
@@ -23,6 +23,7 @@
   double guarantee_weight;  // work within its team's guarantee
   double packing_weight;    // fuller machines first, so that whole ones stay free
   double spot_weight;       // spot machines for those who may use them
+  double begin_weight;      // arrays of which nothing began for two minutes: for one task of each; 0: off
   double shortage_weight;   // what cannot be in time, in a shortage: per time that it misses; 0: nobody is told apart
   double shortage_efficiency;  // part of the room freed that is counted on for running work, 0 to 1
   // Rounds and fleet
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -20,7 +20,8 @@
   return cheaper_unsaved ? 0 : spec.save_s;
 }
 
-double lost_work_s(const Policy& policy, const JobSpec* spec, const Placement& victim, Time now) {
+double lost_work_s(const Policy& policy, const JobSpec* spec, const MachineType& type, const Placement& victim,
+                   Time now) {
   if (spec == nullptr) return 0;
   if (victim.state() != TaskState::running) return 1.0;
   const double ran = std::max(0.0, to_seconds(now - victim.running_since));
@@ -29,7 +30,7 @@
   const double unsaved = spec->checkpoint_s > 0 ? std::min(ran, spec->checkpoint_s / 2) : ran;
   const double lost = (grace > 0 ? grace : unsaved) + 5.0;
   const double gang = spec->shape == Shape::gang ? spec->tasks : 1;
-  return lost * gang * std::max(1.0, spec->need.gpus);
+  return lost * gang * std::max(1.0, size_on(type, spec->need));
 }
 
 namespace {
@@ -78,7 +79,7 @@
   const auto& job = *row.job;
   const bool cold = job.spec.image_gb > 0 && !m.machine->has_image(job.image) && m.type->fetch_gb_per_s > 0;
   const double fetch_s = cold ? job.spec.image_gb / m.type->fetch_gb_per_s : 0;
-  out.cost = out.lost + fetch_s * std::max(1.0, job.spec.need.gpus * out.tasks);
+  out.cost = out.lost + fetch_s * std::max(1.0, size_on(*m.type, job.spec.need) * out.tasks);
   return out;
 }
 
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -40,7 +40,8 @@
 // checkpoint is on the mean less than the saving takes. Its place is then free at once.
 double grace_s(const Policy& policy, const JobSpec& spec);
 // GPU-seconds. `spec` is the victim's job's, or nothing where the job is over.
-double lost_work_s(const Policy& policy, const JobSpec* spec, const Placement& victim, Time now);
+double lost_work_s(const Policy& policy, const JobSpec* spec, const MachineType& type, const Placement& victim,
+                   Time now);
 // Room for `wanted` tasks; of an array also for fewer.
 std::optional<Eviction> plan_eviction(const VictimTable& table, const Row& row, std::uint32_t wanted);
 
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -22,8 +22,9 @@
     150'000;  // machines looked at in all tries of a round; others wait for the next
 constexpr Duration eviction_retry = seconds(0.2);
 constexpr Duration fleet_every = seconds(0.5);
-constexpr double least_eviction_s = 4;  // saving, stopping and starting anew take at least so long
-constexpr double late_boot = 1.8;       // times the nominal boot time after which a machine is not counted on
+constexpr double least_eviction_s = 4;             // saving, stopping and starting anew take at least so long
+constexpr Duration begin_patience = seconds(120);  // half of the time within which the largest jobs too are to begin
+constexpr double late_boot = 1.8;  // times the nominal boot time after which a machine is not counted on
 
 bool before(const Row& a, const Row& b) {
   if (a.job->suspect != b.job->suspect) return b.job->suspect;
@@ -104,9 +105,22 @@
                           keeps_to_spot(job, any_spot, now)});
   }
   if (setup_.policy.shortage_weight > 0) tell_apart(board, now);
+  if (setup_.policy.begin_weight > 0) {
+    for (auto& row : board.rows) let_begin(row, now);
+  }
   std::ranges::stable_sort(board.rows, before);
 }
 
+// One task of each array, so that it costs the others next to nothing.
+void Scheduler::let_begin(Row& row, Time now) const {
+  const auto& job = *row.job;
+  const bool began = job.next_attempt > 1 || job.spec.shape == Shape::gang || job.suspect || row.spot_only;
+  if (began || now - job.released < begin_patience) return;
+  row.overdue = true;
+  row.count = 1;
+  row.deferred = 0;
+}
+
 bool Scheduler::usable(const Machine& m, Time now) const {
   if (!m.takes_starts() || !m.ears.hears() || m.quarantined || m.taken_at || now < m.no_starts_before) return false;
   // A silent machine may be dead: nothing new goes there until it speaks.
@@ -239,8 +253,9 @@
       const auto [it, fresh] = known.try_emplace(p.task.job);
       if (fresh) it->second = {find_job(p.task.job), board.guaranteed.contains(p.task.job)};
       const auto& [job, guaranteed] = it->second;
-      v.victims.push_back({&p, job, guaranteed, over[p.team],
-                           lost_work_s(setup_.policy, job != nullptr && !job->ghost ? &job->spec : nullptr, p, now)});
+      v.victims.push_back(
+          {&p, job, guaranteed, over[p.team],
+           lost_work_s(setup_.policy, job != nullptr && !job->ghost ? &job->spec : nullptr, *type, p, now)});
     }
     std::ranges::stable_sort(v.victims, {}, &Victim::lost);
     table.push_back(std::move(v));
@@ -312,7 +327,8 @@
   std::vector<Prospect> out;
   for (const auto& col : board.columns) {
     const auto& m = *col.machine;
-    if (!m.reserved_for && col.free.gpus > 0)
+    // Machines without GPUs have room too.
+    if (!m.reserved_for && (col.type->room.gpus > 0 ? col.free.gpus : col.free.cpus) > 0)
       out.push_back({col.type, m.zone, m.spot, col.free, now, false, m.empty() ? col.machine : nullptr});
   }
   for (const auto& [id, m] : machines_) {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -206,6 +206,7 @@
   Board make_board(Time now);
   void add_rows(Board& board, Time now);
   void tell_apart(Board& board, Time now);  // scheduler_load.cpp
+  void let_begin(Row& row, Time now) const;
   [[nodiscard]] std::vector<double> latest_starts(const Row& row, Time now) const;
   [[nodiscard]] bool must_be_even(const Job& job, Time now) const;
   [[nodiscard]] bool keeps_to_spot(const Job& job, bool any_spot, Time now) const;
--- a/tests/shortage_test.cpp
+++ b/tests/shortage_test.cpp
@@ -6,26 +6,53 @@
 namespace martenwall {
 namespace {
 
-// One scheduler, machines of eight GPUs, jobs of one class with a deadline; tasks run as long as they are told to.
+// One scheduler, two machines; tasks run as long as they are told to, or the first six each longer than the one before.
 class Rush {
  public:
-  explicit Rush(double weight) : s_(setup(weight), [](const std::string&) {}) {
-    s_.set_types({{"g", {64, 8, 512}, 1000, 1, 10, 3, 40, {"a"}}});
+  // Machines of eight GPUs; by default a shortage is told apart.
+  explicit Rush(double weight) : Rush(setup(weight), {"g", {64, 8, 512}, 1000, 1, 10, 3, 40, {"a"}}) {}
+  Rush(Scheduler::Setup setup, MachineType type)
+      : s_(std::move(setup), [this](const std::string& line) {
+          if (line.find("without a place") != std::string::npos) fleet_line_ = line;
+        }) {
+    gpus_ = type.room.gpus > 0 ? 1 : 0;
+    s_.set_types({std::move(type)});
+  }
+  static Scheduler::Setup setup(double weight) {
+    Scheduler::Setup u;
+    u.terms = {1, 19, 50, 4, 39};
+    u.teams = {{"red", {}, {0, 1e6, 0}}};
+    u.token = Token{50};
+    u.old_leader_until = Time{seconds(1000)};
+    u.policy.direct_starts = false;
+    u.policy.shortage_weight = weight;
+    return u;
   }
   void job(int number, std::uint32_t tasks, double run_s, double deadline_s) {
+    JobSpec spec;
+    spec.lane = "scan";
+    spec.tasks = tasks;
+    spec.need = {1, gpus_, 1};
+    spec.estimate_s = run_s;
+    spec.deadline_s = deadline_s;
+    job(number, std::move(spec));
+  }
+  void job(int number, JobSpec spec) {
     Job j;
+    j.spec = std::move(spec);
     j.spec.id = JobId{"job-" + std::to_string(100000 + number)};
-    j.spec.team = "red";
-    j.spec.lane = "scan";
-    j.spec.tasks = tasks;
-    j.spec.need = {1, 1, 1};
+    if (j.spec.team.empty()) j.spec.team = "red";
     j.spec.image = "img";
-    j.spec.estimate_s = run_s;
-    j.spec.deadline_s = deadline_s;
     j.submitted = now_;
-    ends_[j.spec.id] = now_ + seconds(deadline_s);
+    ends_[j.spec.id] = now_ + seconds(j.spec.deadline_s.value_or(0));
     s_.add_job(j, now_);
   }
+  [[nodiscard]] bool began(int number) const {
+    const auto* j = s_.find_job(JobId{"job-" + std::to_string(100000 + number)});
+    return j == nullptr || j->next_attempt > 1;
+  }
+  [[nodiscard]] const std::string& fleet_line() const { return fleet_line_; }
+  void spread_run_times() { uneven_ = true; }
   void run(int for_s) {
     for (int i = 0; i < for_s; ++i) {
       now_ += seconds(1);
@@ -45,16 +72,6 @@
     Attempt attempt;
     Time until{};
   };
-  static Scheduler::Setup setup(double weight) {
-    Scheduler::Setup u;
-    u.terms = {1, 19, 50, 4, 39};
-    u.teams = {{"red", {}, {0, 1e6, 0}}};
-    u.token = Token{50};
-    u.old_leader_until = Time{seconds(1000)};
-    u.policy.direct_starts = false;
-    u.policy.shortage_weight = weight;
-    return u;
-  }
   void report(const char* id) {
     WorkerReport r;
     r.machine = MachineId{id};
@@ -79,7 +96,8 @@
   }
   void take(const char* id, const Order& o) {
     if (o.verb == Order::Verb::start) {
-      tasks_[id][o.task] = {o.attempt, now_ + seconds(s_.find_job(o.task.job)->spec.estimate_s)};
+      const double longer = uneven_ && o.task.index < 6 ? 3.0 * o.task.index : 0;
+      tasks_[id][o.task] = {o.attempt, now_ + seconds(s_.find_job(o.task.job)->spec.estimate_s + longer)};
     } else {
       tasks_[id].erase(o.task);
     }
@@ -87,11 +105,14 @@
 
   Time now_{seconds(1000)};
   std::uint64_t tick_ = 0;
+  std::string fleet_line_;  // the last that told what waits
   Scheduler s_;
   std::map<std::string, std::map<TaskId, Task>> tasks_;
   std::map<JobId, Time> ends_;
   std::set<JobId> done_;
   std::size_t in_time_ = 0;
+  bool uneven_ = false;
+  double gpus_ = 0;  // of a task of `scan`
 };
 
 // Twice as much comes as sixteen GPUs can do, jobs of 4 and of 16 tasks in turn.
@@ -127,5 +148,82 @@
   }
 }
 
+// Machines of 4 CPUs, a team limited to 6: short tasks that can not all be in time, and after them two of
+// a lower rank that each take a machine, which are to start within 150 s.
+void play_limited(Rush& r) {
+  r.spread_run_times();
+  r.job(1, 2000, 18, 300);
+  r.run(40);
+  JobSpec large;
+  large.lane = "large";
+  large.rank = Rank::best_effort;
+  large.tasks = 2;
+  large.need = {4, 0, 10};
+  large.estimate_s = 30;
+  r.job(2, large);
+  r.run(100);
+}
+
+Scheduler::Setup limited(bool leave, double begin) {
+  auto setup = Rush::setup(40);
+  setup.teams = {{"red", {2, 0, 0}, {6, 0, 0}}};
+  setup.aims.by_lane["large"] = {150};
+  setup.policy.leave_limits = leave;
+  setup.policy.begin_weight = begin;
+  return setup;
+}
+
+const MachineType four_cpus{"g", {4, 0, 16}, 1000, 1, 0.2, 0.05, 30, {"a"}};
+
+// A day of the boundary survey site: a limit came free one CPU at a time, and tasks of four never found four.
+TEST(shortage, small_tasks_leave_a_larger_one_room_within_the_limit) {
+  Rush before{limited(false, 0), four_cpus};
+  play_limited(before);
+  EXPECT_FALSE(before.began(2)) << "else this shows nothing";
+  Rush now{limited(true, 0), four_cpus};
+  play_limited(now);
+  EXPECT_TRUE(now.began(2));
+}
+
+// The same where the short ones are not late: they go first, and the large one begins all the same.
+TEST(shortage, a_job_of_which_nothing_began_gets_its_first_task) {
+  for (const double begin : {0.0, 9.0}) {
+    Rush r{limited(true, begin), four_cpus};
+    r.spread_run_times();
+    JobSpec large;
+    large.rank = Rank::best_effort;
+    large.tasks = 2;
+    large.need = {4, 0, 10};
+    large.estimate_s = 30;
+    r.job(1, 2000, 18, 10000);  // in time, and as much as the limit can do
+    r.run(40);
+    r.job(2, large);
+    r.run(160);
+    EXPECT_EQ(begin > 0, r.began(2));
+  }
+}
+
+// Arrays of thousands in a team of few CPUs want no more than their limit: others of a lower rank are not given up.
+TEST(shortage, what_a_limit_keeps_from_starting_is_not_wanted_of_the_machines) {
+  auto setup = Rush::setup(40);
+  setup.teams = {{"red", {2, 0, 0}, {2, 0, 0}}, {"blue", {2, 0, 0}, {1e6, 0, 0}}};
+  setup.aims.by_lane["later"] = {150};
+  Rush r{setup, four_cpus};
+  r.job(1, 2000, 20, 300);  // late, whatever is done
+  r.run(2);
+  for (const int i : {2, 3}) {  // the first of them fills the machines
+    JobSpec spec;
+    spec.team = "blue";
+    spec.lane = "later";
+    spec.rank = Rank::best_effort;
+    spec.tasks = 6;
+    spec.need = {1, 0, 1};
+    spec.estimate_s = 25;
+    r.job(i, spec);
+  }
+  r.run(20);
+  EXPECT_NE(std::string::npos, r.fleet_line().find("of 2 jobs without a place, 1 of them deferred")) << r.fleet_line();
+}
+
 }  // namespace
 }  // namespace martenwall
--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -17,6 +17,7 @@
     policy_.shortage_weight = 40;
     policy_.unsaved_stops = true;
     policy_.leave_limits = true;
+    policy_.begin_weight = 9;
   }
   teams_ = {{"red", {0, 16, 0}, {0, 40, 0}}, {"blue", {0, 8, 0}, {0, 24, 0}}};
   types_ = {{"big", {48, 4, 288}, 80, 0.6, 10, 3, 20, {"a", "b"}}};
