--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -389,8 +389,10 @@
 
 void Scheduler::plan_releases(Time now) {
   std::vector<Machine*> idle;
-  const auto deaf_ones = std::ranges::count_if(machines_, [](const auto& m) { return m.second.ears.deaf(); });
-  const bool few_deaf = static_cast<std::size_t>(deaf_ones) * 4 <= machines_.size();
+  const auto few_deaf = [&] {
+    const auto deaf = std::ranges::count_if(machines_, [](const auto& m) { return m.second.ears.deaf(); });
+    return static_cast<std::size_t>(deaf) * 4 <= machines_.size();
+  };
   for (auto& [id, m] : machines_) {
     const auto* type = type_of(m.type);
     const double boot = type != nullptr ? type->boot_s : 60;
@@ -404,8 +406,8 @@
     const bool dead = phase == MachinePhase::lost && now - m.phase_since > setup_.policy.lost_patience;
     // One that hears nothing is of no use, and costs as much as another; but where many are deaf the fault is
     // elsewhere.
-    const bool deaf = phase == MachinePhase::up && m.ears.deaf() && m.empty() && few_deaf &&
-                      now - m.ears.since() > setup_.policy.lost_patience;
+    const bool deaf = phase == MachinePhase::up && m.ears.deaf() && m.empty() &&
+                      now - m.ears.since() > setup_.policy.lost_patience && few_deaf();
     if (never_came || drained || dead || deaf) {
       log_("machine " + id.value() + " to be released: " + (deaf ? "deaf" : std::string{name_of(phase)}));
       m.enter(MachinePhase::releasing, now);
