--- a/tests/ears_test.cpp
+++ b/tests/ears_test.cpp
@@ -192,7 +192,7 @@
   EXPECT_EQ(0U, w.placed_on("i-1"));
 }
 
-TEST(ears, a_machine_that_stays_deaf_goes_back_but_not_the_whole_fleet) {
+TEST(ears, where_half_of_the_fleet_is_deaf_none_of_it_goes_back) {
   Ward w{false};
   w.run(60, false);
   EXPECT_EQ(MachinePhase::up, w.phase()) << "half of the fleet is deaf: the fault is elsewhere";
