--- a/tests/chains_test.cpp
+++ b/tests/chains_test.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "core/scheduler.hpp"
+#include "worker_reports.hpp"
 
 namespace martenwall {
 namespace {
@@ -52,14 +53,7 @@
     for (auto rows = take(); !rows.empty(); rows = take()) store(rows);
   }
   void report(std::vector<TaskReport> tasks) {
-    WorkerReport r;
-    r.machine = MachineId{"i-1"};
-    r.addr = std::string{"10.0.0.9:1"};
-    r.type = std::string{"g"};
-    r.zone = std::string{"a"};
-    r.session = Session{1};
-    r.tick = Tick{++tick_};
-    r.token = Token{50};
+    auto r = report_of("i-1", Tick{++tick_});
     r.tasks = std::move(tasks);
     s.on_report(r, ReportSource::beat, now, true);
     s.answered(r.machine, now);
--- a/tests/ears_test.cpp
+++ b/tests/ears_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/scheduler.hpp"
+#include "worker_reports.hpp"
 
 namespace martenwall {
 namespace {
@@ -134,14 +135,7 @@
       m.tasks.clear();
       m.answered = now_;
     }
-    WorkerReport r;
-    r.machine = MachineId{id};
-    r.addr = std::string{"10.0.0.1:1"};
-    r.type = std::string{"g"};
-    r.zone = std::string{"a"};
-    r.session = Session{m.session};
-    r.tick = Tick{++m.tick};
-    r.token = Token{m.token};
+    auto r = report_of(id, Tick{++m.tick}, Session{m.session}, Token{m.token});
     r.tasks = m.tasks;
     const auto orders = s_.on_report(r, ReportSource::beat, now_, true);
     if (s_.leaves_unanswered(r.machine)) return;
--- a/tests/rows_test.cpp
+++ b/tests/rows_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "core/scheduler.hpp"
+#include "worker_reports.hpp"
 
 namespace martenwall {
 namespace {
@@ -45,14 +46,7 @@
     s.add_job(job(), now);
   }
   void beat() {
-    WorkerReport r;
-    r.machine = MachineId{"i-1"};
-    r.addr = std::string{"10.0.0.9:1"};
-    r.type = std::string{"g"};
-    r.zone = std::string{"a"};
-    r.session = Session{1};
-    r.tick = Tick{++tick};
-    r.token = Token{50};
+    auto r = report_of("i-1", Tick{++tick});
     for (const auto& [index, attempt] : on_machine) {
       const bool over_now = ended.contains(index);
       r.tasks.push_back({TaskId{JobId{"job-1"}, index}, attempt, over_now ? TaskState::ended : TaskState::running,
--- a/tests/shortage_test.cpp
+++ b/tests/shortage_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "core/scheduler.hpp"
+#include "worker_reports.hpp"
 
 namespace martenwall {
 namespace {
@@ -73,14 +74,7 @@
     Time until{};
   };
   void report(const char* id) {
-    WorkerReport r;
-    r.machine = MachineId{id};
-    r.addr = std::string{"10.0.0.9:1"};
-    r.type = std::string{"g"};
-    r.zone = std::string{"a"};
-    r.session = Session{1};
-    r.tick = Tick{++tick_};
-    r.token = Token{50};
+    auto r = report_of(id, Tick{++tick_});
     for (const auto& [task, t] : tasks_[id]) {
       const bool over = now_ >= t.until;
       r.tasks.push_back({task, t.attempt, over ? TaskState::ended : TaskState::running,
