--- a/src/core/reach.cpp
+++ b/src/core/reach.cpp
@@ -46,10 +46,12 @@
 
 void Hearing::claim(const std::string& node, std::size_t stranded, Time now) { claims_[node] = {stranded, now}; }
 
-std::size_t Hearing::claimed(Time now) const {
+std::size_t Hearing::claimed(Time now) const { return claimed_since(now - claim_valid); }
+
+std::size_t Hearing::claimed_since(Time since) const {
   std::size_t most = 0;
   for (const auto& [node, c] : claims_) {
-    if (now - c.at <= claim_valid) most = std::max(most, c.stranded);
+    if (c.at >= since) most = std::max(most, c.stranded);
   }
   return most;
 }
@@ -63,6 +65,9 @@
   }
   if (state_ == HearingState::hearing) enter(HearingState::doubted, now);
   if (now - since_ < doubt_for) return false;
+  // One note may have come late, carried out by the store long after it was written: another must have followed.
+  if (static_cast<double>(claimed_since(since_ + Duration{1})) <= clearly_more * static_cast<double>(heard))
+    return false;
   enter(HearingState::deaf, now);
   return true;
 }
--- a/src/core/reach.hpp
+++ b/src/core/reach.hpp
@@ -48,6 +48,7 @@
 
  private:
   void enter(HearingState next, Time now);
+  [[nodiscard]] std::size_t claimed_since(Time since) const;
   struct Claim {
     std::size_t stranded = 0;
     Time at{};
--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -75,6 +75,16 @@
   EXPECT_FALSE(judged(h, start + seconds(10), 20, 0, 0));
 }
 
+// A note of stranded workers that the store carried out late, long after it was true.
+TEST(reach, one_claim_alone_ends_no_leadership) {
+  Hearing h{terms};
+  const Time start{seconds(100)};
+  h.began(start);
+  h.claim("other", 300, start + seconds(20));
+  EXPECT_FALSE(judged(h, start + seconds(20), 10, 40, 0));
+  EXPECT_EQ(HearingState::hearing, h.state());
+}
+
 // A day of our own: with two of three nodes silent a worker came back after ten seconds, too late to count.
 TEST(reach, a_worker_that_was_sent_on_counts_for_some_seconds) {
   TurnedAway t;
