--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -184,6 +184,7 @@
   Rank rank = Rank::normal;  // its own, or a higher one of a job that needs it
   std::uint64_t next_attempt = 1;
   DoneSet done;
+  bool end_sent = false;      // its end is on its way to the store: others may read it there before this node knows
   bool final_stored = false;  // its end is in the store and may be told
   bool ghost = false;         // its end was stored by an earlier leader; only its last tasks are looked after
   bool chained = false;       // its own row stands where level 1 does not look
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -89,6 +89,9 @@
   // own end is not stored yet, it is not called active.
   const bool looking = !(lookups_.empty() && asked_.empty());
   if (!job->final_stored && !job->open.empty() && (looking || is_final(job->phase))) return std::nullopt;
+  // A transaction without an answer may have stored its end: another node reads it and tells the user, and this one
+  // would call the job active after that (`went_back` on a day with late writes). The store knows.
+  if (job->end_sent && !job->final_stored) return std::nullopt;
   JobStatus s{id, job->phase, std::min(job->done.count(), job->spec.tasks), job->running};
   // A final phase is told only once it is stored: until then the job is as it was before.
   if (is_final(s.phase) && job->final_stored) return s;
--- a/src/core/scheduler_store.cpp
+++ b/src/core/scheduler_store.cpp
@@ -417,6 +417,7 @@
   if (it == jobs_.end()) return w;
   Job& job = it->second;
   if (key.kind == RowKind::final_job) {
+    job.end_sent = true;
     w.final_job = FinalJob{job.spec.id, job.phase, job.spec.tasks, job.done.count(), job.chained};
     w.pieces = job.pieces;
     return w;
