A held start is made known to its worker in grace too, until it is too late for it

Before, only with proof and for half of cancel_s: a start that the network held for longer began after a cancelled job's tasks had to be gone. A stop that became more urgent goes out on the direct way again.

--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -12,8 +12,9 @@
 constexpr Duration tombstone_life = seconds(600);
 // Ends of an array's tasks wait a moment for each other: only the last one is awaited by a user.
 constexpr Duration end_delay = seconds(1.2);
-constexpr std::size_t max_probes = 8;    // at once, of machines that may be deaf
-constexpr std::size_t max_orders = 300;  // in one answer: a line of it may have 64 KiB
+constexpr Duration start_takes = seconds(6);  // from an answer with a start: its way, and the start itself
+constexpr std::size_t max_probes = 8;         // at once, of machines that may be deaf
+constexpr std::size_t max_orders = 300;       // in one answer: a line of it may have 64 KiB
 }  // namespace
 
 Scheduler::Scheduler(Setup setup, Log log) : setup_(std::move(setup)), log_(std::move(log)), used_(teams_) {
@@ -427,6 +428,7 @@
     if (grace_s < p.stop_grace_s) {
       p.stop_grace_s = grace_s;
       p.stop_sent = false;
+      touched_.insert(m.id);
     }
     return;
   }
@@ -569,9 +571,12 @@
     return;
   }
   if (p.stop_wanted) {
-    const bool early = now - p.stop_since < seconds(setup_.terms.cancel_s / 2);
-    if (!p.seen() && p.direct_open && proven && early && m.phase() != MachinePhase::releasing) {
-      // Make the worker know the attempt, so that the late start has no effect; then end it.
+    // Up to when it is surely carried out before a cancelled job's tasks have to be gone.
+    const bool early = now - p.stop_since < seconds(setup_.terms.cancel_s) - start_takes;
+    if (!p.seen() && p.direct_open && early && m.phase() != MachinePhase::releasing) {
+      // Make the worker know the attempt, so that the late start has no effect; then end it. In grace too: an answer
+      // that keeps the session alive and does not do this would leave the way open to a start that the network holds
+      // for longer than cancel_s. What it starts is stored as being there, whoever leads.
       out.push_back({Order::Verb::start, p.task, p.attempt, 0});
       p.sent_tick = std::max(p.sent_tick.value_or(tick), tick);
     }
