Hires and releases that waited for the cloud are dropped with their term

A node that lost the lead and had it back sent a release planned before, of machines on which it had placed work since. Test meetings.a_release_of_an_earlier_term_is_dropped.

--- a/src/service/cloud_service.cpp
+++ b/src/service/cloud_service.cpp
@@ -11,6 +11,7 @@
 constexpr Duration pass_limit = seconds(5);
 constexpr Duration list_every = seconds(3);
 constexpr Duration types_every = seconds(60);
+constexpr std::uint64_t for_all = 0;  // in place of a term: what any node may ask
 }  // namespace
 
 CloudService::CloudService(Context& ctx, StateClient& state)
@@ -29,11 +30,13 @@
   }
 }
 
-rt::Task<rt::HttpResult> CloudService::call(std::string method, std::string target, std::string body,
-                                            Duration timeout) {
+rt::Task<rt::HttpResult> CloudService::call(std::string method, std::string target, std::string body, Duration timeout,
+                                            std::uint64_t term) {
   co_await admit();
-  // What changes the fleet is the leader's alone, and may have waited here for its turn.
-  if (method == "POST" && !ctx_.proven()) co_return rt::HttpResult{};
+  // What changes the fleet is the leader's alone, and may have waited here for its turn: also for so long that this
+  // node lost its leadership and has another by now, which knows nothing of it.
+  const auto may_send = [&] { return term == for_all || (ctx_.leads(term) && ctx_.proven()); };
+  if (!may_send()) co_return rt::HttpResult{};
   if (ctx_.now() < by_others_until_) {
     rt::HttpResult passed = co_await pass_on(method, target, body);
     if (passed.outcome == rt::Outcome::answered) co_return passed;
@@ -43,7 +46,7 @@
   std::string verb = method;
   rt::HttpResult r = co_await http_.request(ctx_.settings.cloud, std::move(verb), std::move(direct_target),
                                             std::move(direct_body), timeout);
-  if (r.outcome == rt::Outcome::answered) co_return r;
+  if (r.outcome == rt::Outcome::answered || !may_send()) co_return r;
   // Names of hires and lists of machines to release may be sent twice, by whichever way.
   rt::HttpResult passed = co_await pass_on(method, std::move(target), std::move(body));
   if (passed.outcome != rt::Outcome::answered) co_return r;
@@ -77,7 +80,7 @@
 }
 
 rt::Task<bool> CloudService::fetch_types() {
-  const rt::HttpResult r = co_await call("GET", "/flavors", "", seconds(3));
+  const rt::HttpResult r = co_await call("GET", "/flavors", "", seconds(3), for_all);
   auto types = r.ok() ? wire::parse_types(r.body) : std::nullopt;
   if (!types && ctx_.types.empty()) {
     // The cloud may be out just when this node starts: another node has kept what it said.
@@ -122,7 +125,7 @@
   const Time asked = ctx_.now();
   for (;;) {
     std::string target = "/machines?page=500" + (after.empty() ? std::string{} : "&after=" + after);
-    const rt::HttpResult r = co_await call("GET", std::move(target), "", seconds(4));
+    const rt::HttpResult r = co_await call("GET", std::move(target), "", seconds(4), for_all);
     if (!ctx_.leads(term)) co_return;
     auto page = r.ok() ? wire::parse_machines(r.body) : std::nullopt;
     if (!page) co_return;
@@ -167,7 +170,7 @@
   const std::string body = wire::encode_hire(request);
   for (int i = 0; i < 6; ++i) {
     std::string copy = body;
-    const rt::HttpResult r = co_await call("POST", "/machines", std::move(copy), seconds(4));
+    const rt::HttpResult r = co_await call("POST", "/machines", std::move(copy), seconds(4), term);
     if (!ctx_.leads(term)) co_return;
     if (r.ok()) {
       const auto ids = wire::parse_hired(r.body).value_or(std::vector<MachineId>{});
@@ -190,7 +193,7 @@
 
 rt::Task<void> CloudService::release(std::uint64_t term, std::vector<MachineId> ids) {
   releasing_ = true;
-  const rt::HttpResult r = co_await call("POST", "/machines/release", wire::encode_release(ids), seconds(4));
+  const rt::HttpResult r = co_await call("POST", "/machines/release", wire::encode_release(ids), seconds(4), term);
   if (ctx_.leads(term) && r.ok()) {
     ctx_.scheduler->on_released(ids, ctx_.now());
     ctx_.kick();
--- a/src/service/cloud_service.hpp
+++ b/src/service/cloud_service.hpp
@@ -18,7 +18,9 @@
   void set_peers(PeerService& peers) { peers_ = &peers; }
 
  private:
-  rt::Task<rt::HttpResult> call(std::string method, std::string target, std::string body, Duration timeout);
+  // For the leadership `term` alone, or for any node.
+  rt::Task<rt::HttpResult> call(std::string method, std::string target, std::string body, Duration timeout,
+                                std::uint64_t term);
   rt::Task<rt::HttpResult> pass_on(const std::string& method, std::string target, std::string body);
   rt::Task<void> admit();
   rt::Task<bool> fetch_types();
