--- a/src/service/job_rows.cpp
+++ b/src/service/job_rows.cpp
@@ -47,8 +47,10 @@
   job.pieces.clear();
   for (std::size_t i = 0; i < pieces.size();) {
     // While the job is not there: a repeated submission must not add to one that was accepted.
+    // Nor, carried out late, to one that is over: no one would ever remove it.
     std::vector<wire::Condition> when{{wire::job_key(job.spec.id, false), Stamp{0}},
-                                      {wire::job_key(job.spec.id, true), Stamp{0}}};
+                                      {wire::job_key(job.spec.id, true), Stamp{0}},
+                                      {wire::final_key(job.spec.id), Stamp{0}}};
     std::vector<wire::StoreOp> then;
     std::size_t bytes = 0;
     for (; i < pieces.size() && then.size() < ctx_.limits.txn_ops(); ++i) {
