A doubtful transaction counts as stored by its mark alone; notes are read until told

That a key is gone proves nothing: a leader back from a refusal took its successor's removal of a job's row for its own end, and told done of a job that had been cancelled. A note's job was read once; failing that it waited for the next leader. A note written anew while the one before is removed no longer ends a leadership.

--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -17,7 +17,8 @@
 constexpr Duration look_up_every = seconds(0.1);
 constexpr Duration look_up_pause = seconds(0.2);
 constexpr Duration look_up_again = seconds(1);  // a job that is to be found at neither key nor among those over
-constexpr std::size_t worth_a_run = 3;          // so many ends are read in runs of neighbours rather than one by one
+constexpr Duration read_again = seconds(0.2);
+constexpr std::size_t worth_a_run = 3;  // so many ends are read in runs of neighbours rather than one by one
 }  // namespace
 
 std::uint32_t Context::legacy_size_for(std::size_t value_bytes) {
@@ -295,11 +296,15 @@
   ctx_.kick();
 }
 
+// Read until the store tells: a note comes once, and its job was accepted.
 rt::Task<void> LeaderStore::take_inbox(std::uint64_t term, JobId id, bool cancel) {
-  if (ctx_.scheduler->find_job(id) == nullptr) {
+  while (ctx_.scheduler->find_job(id) == nullptr) {
     JobRows::Read r = co_await job_rows_.read(id);
-    if (!ctx_.leads(term) || r.outcome == ReadOutcome::failed) co_return;
+    if (!ctx_.leads(term)) co_return;
     if (r.job) adopt(term, std::move(*r.job), r.version);
+    if (r.outcome != ReadOutcome::failed) break;
+    co_await ctx_.loop.sleep(read_again);
+    if (!ctx_.leads(term)) co_return;
   }
   if (cancel) {
     ctx_.scheduler->cancel(id, ctx_.now());
@@ -514,6 +519,16 @@
   return chunk;
 }
 
+void LeaderStore::return_notes(const Chunk& chunk) {
+  for (const auto& op : chunk.then) {
+    if (op.key.starts_with("i/")) {
+      inbox_done_.emplace_back(op.key.substr(2));
+    } else {
+      leftover_pieces_.push_back(op.key);
+    }
+  }
+}
+
 // Every value carries its writer, so that a transaction whose answer was lost can be recognised.
 void LeaderStore::sign(Chunk& chunk) {
   const auto by = std::to_string(ctx_.leadership.token().value()) + "." + std::to_string(++write_serial_);
@@ -532,33 +547,38 @@
   }
 }
 
-rt::Task<bool> LeaderStore::was_applied(const Chunk& chunk) {
-  const auto& op = chunk.then.front();
-  for (int i = 0; i < 20; ++i) {
-    const ReadResult r = co_await state_.get(op.key, seconds(1));
-    if (r.outcome == ReadOutcome::failed) {
-      co_await ctx_.loop.sleep(seconds(0.2));
-      continue;
-    }
-    if (!op.value) co_return r.outcome == ReadOutcome::absent;
-    co_return r.outcome == ReadOutcome::found&& r.item.value.value("by", "") == (*op.value)["by"];
+// A read that is repeated until the store answers, or this leadership is over.
+rt::Task<ReadResult> LeaderStore::read_surely(std::uint64_t term, std::string key) {
+  ReadResult r;
+  while (ctx_.term == term) {
+    std::string copy = key;
+    r = co_await state_.get(std::move(copy), seconds(1));
+    if (r.outcome != ReadOutcome::failed) break;
+    co_await ctx_.loop.sleep(read_again);
   }
-  co_return false;
+  co_return r;
 }
 
-// Whether a transaction whose answer was lost was applied after all; if so its versions are taken over.
+rt::Task<bool> LeaderStore::holds_lead(std::uint64_t term) {
+  const ReadResult lead = co_await read_surely(term, wire::leader_key);
+  co_return ctx_.term == term&& lead.outcome == ReadOutcome::found&& lead.item.version.value() ==
+      ctx_.leadership.token().value();
+}
+
+// Whether a transaction whose answer was lost was applied after all; if so its versions are taken over. That a key is
+// gone proves nothing: a later leader may have removed it, and ended the job in another way.
 rt::Task<bool> LeaderStore::recognise(std::uint64_t term, const Chunk& chunk) {
-  const bool applied = co_await was_applied(chunk);
-  if (ctx_.term != term || !applied) co_return false;
+  const bool ours = co_await holds_lead(term);
+  if (!ours) co_return false;
   const auto written = std::ranges::find_if(chunk.then, [](const auto& op) { return op.value.has_value(); });
-  if (written == chunk.then.end()) {
-    remember(chunk, Revision{0});
-    co_return true;
-  }
-  const ReadResult one = co_await state_.get(written->key, seconds(1));
-  if (ctx_.term != term || one.outcome != ReadOutcome::found) co_return false;
-  remember(chunk, Revision{one.item.version.value()});
-  co_return true;
+  const auto& telling = written == chunk.then.end() ? chunk.then.front() : *written;
+  const ReadResult r = co_await read_surely(term, telling.key);
+  if (ctx_.term != term) co_return false;
+  const bool applied = telling.value
+                           ? r.outcome == ReadOutcome::found && r.item.value.value("by", "") == (*telling.value)["by"]
+                           : r.outcome == ReadOutcome::absent;
+  if (applied) remember(chunk, Revision{r.item.version.value()});
+  co_return applied;
 }
 
 // Tries until the outcome is known. The same conditions hold each time, so at most one try is applied. One that was
@@ -622,6 +642,13 @@
       ctx_.scheduler->put_back(chunk.rows, too_large_pause, ctx_.now());
       break;
     case Commit::lost:
+      if (chunk.rows.empty()) {
+        // Notes are others' keys too: one that was written anew meanwhile says nothing of this leadership.
+        const bool ours = co_await holds_lead(term);
+        if (ctx_.term != term) co_return;
+        if (ours) return_notes(chunk);
+        if (ours) break;
+      }
       // Another leader, or a lost picture of the keys: both mean starting over from the store.
       step_down("a transaction's conditions failed");
       break;
--- a/src/service/leader_store.hpp
+++ b/src/service/leader_store.hpp
@@ -56,14 +56,16 @@
   [[nodiscard]] wire::json facts_row(std::vector<MachineFacts> facts) const;
   bool fits_value(const RowWrite& row, const std::vector<wire::StoreOp>& ops);
   Chunk note_removals();
+  void return_notes(const Chunk& chunk);  // to be removed later
   [[nodiscard]] Chunk new_chunk() const;
   void append(Chunk& chunk, std::vector<wire::StoreOp> ops);
   void sign(Chunk& chunk);
   void told(const std::vector<RowWrite>& rows);
   enum class Commit { stored, lost, too_large };
   rt::Task<Commit> commit(std::uint64_t term, const Chunk& chunk);
+  rt::Task<bool> holds_lead(std::uint64_t term);
   rt::Task<bool> recognise(std::uint64_t term, const Chunk& chunk);
-  rt::Task<bool> was_applied(const Chunk& chunk);
+  rt::Task<ReadResult> read_surely(std::uint64_t term, std::string key);
   void remember(const Chunk& chunk, Revision revision);
 
   Context& ctx_;
