Whoever finds an active job that the leader does not know leaves it a note

A submission that the leader gave up and the store carried out late had no note: it waited for the next leader. Test meetings.a_submission_stored_late_runs.

--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t max_batches = 4;
 constexpr std::size_t max_asked = 2000;
 constexpr std::size_t keys_per_question = 3;
+constexpr Duration remind_again = seconds(20);
+constexpr std::size_t max_reminded = 200;
 constexpr std::size_t conditions_per_op = 4;  // of a transaction, by PROTOCOL
 
 }  // namespace
@@ -229,17 +231,15 @@
     if (as_leader) store_.adopt(term, std::move(job), Stamp{r.revision.value()});
     // A leader that lost its office meanwhile has written without an inbox key; its successor
     // may have loaded before: the job would wait for the next load.
-    if (as_leader && !ctx_.leads(term)) {
-      std::vector<wire::StoreOp> note;
-      note.push_back({wire::inbox_key(id), wire::encode_note(ctx_.settings.node, false), std::nullopt});
-      co_await state_.txn({}, std::move(note), seconds(1.5));
-    }
+    if (as_leader && !ctx_.leads(term)) co_await write_note(id);
     co_return answer(201, JobStatus{id, JobPhase::pending, 0, 0});
   }
   if (r.outcome == TxnOutcome::refused) co_return later("the state service does not answer");
   // Known already, or the answer was lost: the store tells.
   const Finding known = co_await read_status(id);
   if (known.known != Known::yes) co_return later("not known to be stored");
+  // What made it known may have been a leader's own write that came late, which no note goes with.
+  if (!ctx_.proven() && !is_final(known.status.phase)) remind_leader(id);
   co_return answer(200, known.status);
 }
 
@@ -368,6 +368,7 @@
   Questions left;
   for (std::size_t i = 0; i < questions.size(); ++i) {
     const auto& s = reply->statuses[i];
+    questions[i]->unknown_to_leader = !s.known;
     if (s.known) {
       settle(*questions[i], {Known::yes, {questions[i]->id, static_cast<JobPhase>(s.phase), s.done, s.running}});
     } else {
@@ -394,23 +395,46 @@
   const auto there = co_await state_.existing(std::move(keys), seconds(0.6));
   for (const auto& q : questions) {
     if (q->finding) continue;
-    if (const auto known = from_memory(q->id)) {
-      settle(*q, *known);
-    } else if (!there || ctx_.term != term) {
-      settle(*q, {});
-    } else if (there->contains(wire::job_key(q->id)) && !ctx_.proven()) {
-      const bool placed = there->contains(tasks_key_of(q->id));
-      settle(*q, {Known::yes, {q->id, placed ? JobPhase::running : JobPhase::pending, 0, 0}});
-    } else if (there->contains(wire::final_key(q->id))) {
-      Finding found = co_await read_final(q->id);
-      settle(*q, std::move(found));
-    } else {
-      Finding found = co_await read_status(q->id);
-      settle(*q, std::move(found));
-    }
+    co_await answer_from_store(*q, there, term);
+    const bool active = q->finding->known == Known::yes && !is_final(q->finding->status.phase);
+    if (active && q->unknown_to_leader) remind_leader(q->id);
   }
 }
 
+rt::Task<void> UserService::answer_from_store(Question& q, const std::optional<std::set<std::string>>& there,
+                                              std::uint64_t term) {
+  if (const auto known = from_memory(q.id)) {
+    settle(q, *known);
+  } else if (!there || ctx_.term != term) {
+    settle(q, {});
+  } else if (there->contains(wire::job_key(q.id)) && !ctx_.proven()) {
+    const bool placed = there->contains(tasks_key_of(q.id));
+    settle(q, {Known::yes, {q.id, placed ? JobPhase::running : JobPhase::pending, 0, 0}});
+  } else if (there->contains(wire::final_key(q.id))) {
+    Finding found = co_await read_final(q.id);
+    settle(q, std::move(found));
+  } else {
+    Finding found = co_await read_status(q.id);
+    settle(q, std::move(found));
+  }
+}
+
+// A job that is in the store and that the leader knows nothing of would wait for the next leader: stored by a write of
+// its own that came late, after it had given it up, or just as another took over. A note tells it, now and then.
+void UserService::remind_leader(const JobId& id) {
+  std::erase_if(reminded_, [&](const auto& r) { return ctx_.now() - r.second > remind_again; });
+  if (reminded_.size() >= max_reminded || !reminded_.emplace(id, ctx_.now()).second) return;
+  rt::spawn(write_note(id));
+}
+
+rt::Task<void> UserService::write_note(JobId id) {
+  std::vector<wire::StoreOp> then;
+  then.push_back({wire::inbox_key(id), wire::encode_note(ctx_.settings.node, false), std::nullopt});
+  // Not over one that asks for more.
+  std::vector<wire::Condition> when{{wire::inbox_key(id), Stamp{0}}};
+  co_await state_.txn(std::move(when), std::move(then), seconds(1.5));
+}
+
 // ---- cancellations ----
 
 rt::Task<rt::HttpResponse> UserService::cancel_here(JobId id) {
--- a/src/service/user_service.hpp
+++ b/src/service/user_service.hpp
@@ -40,6 +40,7 @@
     Question(rt::Loop& loop, JobId job) : id(std::move(job)), answered(loop) {}
     JobId id;
     std::optional<Finding> finding;
+    bool unknown_to_leader = false;  // it said so
     rt::Event answered;
   };
   using Questions = std::vector<std::shared_ptr<Question>>;
@@ -66,6 +67,10 @@
   rt::Task<void> answer_questions(Questions questions);
   rt::Task<void> ask_leader_for(Questions& questions);
   rt::Task<void> ask_store_for(Questions questions);
+  rt::Task<void> answer_from_store(Question& question, const std::optional<std::set<std::string>>& there,
+                                   std::uint64_t term);
+  void remind_leader(const JobId& id);
+  rt::Task<void> write_note(JobId id);
   void settle(Question& question, Finding finding);
   [[nodiscard]] std::optional<Finding> from_memory(const JobId& id) const;
 
@@ -76,6 +81,7 @@
   PeerService* peers_ = nullptr;
   Questions asked_;
   std::unordered_map<JobId, std::shared_ptr<Question>> queued_;  // those of them, by job
+  std::unordered_map<JobId, Time> reminded_;                     // the leader, of these jobs, when
   std::size_t batches_ = 0;                                      // of questions, under way
   rt::Event wake_;
 };
