A region of whole nodes in virtual time; the gap and the eight meetings brought about

Three controllers with the code of a whole node on loops and drifting clocks of their own, a store that carries out what it was sent, at once or late, cloud, workers and users. Each test fails where its meeting did not come about.

--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -12,18 +12,25 @@
 namespace {
 constexpr Duration least_stall = seconds(1);
 constexpr std::size_t events_at_once = 256;
+
+auto steady_now() { return std::chrono::steady_clock::now(); }
 }  // namespace
 
-Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+Loop::Loop() : Loop([] { return Time{std::chrono::duration_cast<Duration>(steady_now().time_since_epoch())}; }) {}
+
+Loop::Loop(Clock clock) : clock_(std::move(clock)), epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
   refresh();
 }
 
-Loop::~Loop() { ::close(epoll_); }
+// What is left belongs to coroutines that will never be resumed.
+Loop::~Loop() {
+  for (const auto& [fd, waiters] : waiters_) ::close(fd);
+  ::close(epoll_);
+}
 
 Time Loop::refresh() {
-  const auto t = std::chrono::steady_clock::now().time_since_epoch();
-  const Time now{std::chrono::duration_cast<Duration>(t)};
+  const Time now = clock_();
   const Duration gap = now - now_ - expected_;
   const bool stalled = now_ != Time{} && gap >= least_stall;
   now_ = now;
@@ -107,14 +114,26 @@
     const auto left = timers_.begin()->first.first - refresh();
     timeout = static_cast<int>(std::clamp<std::int64_t>((left.count() + 999) / 1000, 0, 1000));
   }
+  pass(timeout);
+}
+
+bool Loop::poll() {
+  const bool posted = !ready_.empty();
+  run_ready();
+  return pass(0) || posted;
+}
+
+bool Loop::pass(int timeout_ms) {
   std::array<epoll_event, events_at_once> events{};
-  expected_ = std::chrono::milliseconds(timeout);
-  const int n = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout);
+  expected_ = std::chrono::milliseconds(timeout_ms);
+  const int n = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout_ms);
   refresh();
   expected_ = Duration{0};
   for (int i = 0; i < n; ++i) dispatch(events.at(static_cast<std::size_t>(i)));
   run_timers();
+  const bool any = !ready_.empty();
   run_ready();
+  return any;
 }
 
 void Loop::run() {
--- a/src/runtime/loop.hpp
+++ b/src/runtime/loop.hpp
@@ -19,7 +19,9 @@
  public:
   using TimerKey = std::pair<Time, std::uint64_t>;
 
-  Loop();
+  using Clock = std::function<Time()>;
+  Loop();  // on the steady clock
+  explicit Loop(Clock clock);
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
@@ -27,7 +29,7 @@
   Loop& operator=(Loop&&) = delete;
 
   [[nodiscard]] Time now() const { return now_; }
-  Time refresh();  // reads the steady clock
+  Time refresh();  // reads the clock
   // When this process last stood still (frozen, or without its processor) for a second or more, and how long.
   struct Stall {
     Time ended{};
@@ -38,6 +40,7 @@
   void on_stall(std::function<void(const Stall&)> call) { on_stall_ = std::move(call); }
   [[noreturn]] void run();
   void step();  // one pass over timers and readiness
+  bool poll();  // the same without waiting, for whoever moves the clock; false where nothing was to be done
 
   void add(int fd);
   void remove(int fd);  // wakes nobody: the owner must not wait on it any more
@@ -82,8 +85,10 @@
   void fire(IoWait*& slot, bool ready);
   void run_timers();
   void run_ready();
+  bool pass(int timeout_ms);
   void dispatch(const epoll_event& e);
 
+  Clock clock_;
   int epoll_ = -1;
   Time now_{};
   Duration expected_{0};  // the wait that is under way
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -60,7 +60,7 @@
   relay_.count_by([this] { return relay::NodeLoad{server_.bulk(), worker_room_}; });
 }
 
-void Node::run() {
+void Node::start() {
   ctx_.loop.on_stall([this](const rt::Loop::Stall& s) {
     ctx_.log->info("this node stood still for {:.1f} s ({})", to_seconds(s.length), name_of(ctx_.leadership.state()));
   });
@@ -80,6 +80,10 @@
   rt::spawn(server_.serve());
   ctx_.log->info("{} serves on {}, grace {} s", ctx_.settings.node, ctx_.settings.listen,
                  to_seconds(ctx_.leadership.grace()));
+}
+
+void Node::run() {
+  start();
   ctx_.loop.run();
 }
 
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -20,7 +20,11 @@
 class Node {
  public:
   Node(rt::Loop& loop, config::Settings settings, Policy policy, std::shared_ptr<spdlog::logger> log);
+  void start();  // its services, on the loop
   [[noreturn]] void run();
+  [[nodiscard]] std::uint16_t users_port() const { return server_.port(); }
+  [[nodiscard]] std::uint16_t peers_port() const { return peers_.port(); }
+  [[nodiscard]] const Context& context() const { return ctx_; }
 
  private:
   rt::Task<rt::HttpResponse> route(rt::HttpMessage request);
--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,613 @@
+// Two troubles at once: the meetings of docs/safety.md, each brought about with the code of whole nodes. A test in
+// which the meeting did not come about fails.
+#include <gtest/gtest.h>
+
+#include "region/region.hpp"
+
+namespace martenwall {
+namespace {
+
+using region::Region;
+using region::Worker;
+
+TEST(meetings, a_calm_region_runs_its_jobs) {
+  Region r{1, {}};
+  ASSERT_TRUE(r.run_until(20, [&] { return r.leader().has_value(); }));
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 6; ++i) jobs.push_back(r.submit_array(3, 5));
+  EXPECT_TRUE(r.run_until(60, [&] { return r.rules().started() >= 18 && r.all_over(); }));
+  EXPECT_EQ("", r.breaches());
+  EXPECT_EQ(18U, r.rules().started());
+}
+
+// What the region is while a leader works on long jobs.
+struct Busy {
+  Region r;
+  std::vector<JobId> jobs;
+  std::size_t old = 0;
+  explicit Busy(std::uint64_t seed, region::Shape3 shape = {}, double run_s = 150) : r(seed, shape) {
+    EXPECT_TRUE(r.run_until(20, [&] { return r.leader().has_value(); }));
+    for (int i = 0; i < 6; ++i) jobs.push_back(r.submit_array(4, run_s));
+    EXPECT_TRUE(r.run_until(60, [&] { return r.rules().started() >= 24; })) << "the jobs run";
+    r.run(3);
+    old = r.leader().value_or(0);
+  }
+  // After all troubles: what was not cancelled comes to its end, what was is answered.
+  void ends_well(double longest) {
+    r.rules().all_troubles_over(r.now());
+    EXPECT_TRUE(r.run_until(longest, [&] { return r.all_over(); })) << "every accepted job comes to its end";
+    r.run(30);
+    EXPECT_EQ("", r.breaches());
+  }
+};
+
+struct Gap {
+  double before = 4;       // from the refusal to the outage, at least
+  double outage = 40;      // longer than cancel_s, or not
+  bool links_cut = false;  // of the old leader
+  bool refused_again = false;
+  double freeze = 0;         // of the old leader, in the outage
+  bool old_returns = false;  // its process is replaced within a second
+};
+
+void play_gap(std::uint64_t seed, region::Shape3 shape, const Gap& gap) {
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  Busy b{seed, shape};
+  Region& r = b.r;
+  const auto old_token = r.token_of(b.old);
+  r.store().trouble(b.old).refuses_until = r.now() + seconds(gap.before + gap.outage + 10);
+  // The machines reach no one else, and no one else reaches them: one that had heard of the successor would end it.
+  for (auto& w : r.workers()) w->keep_to(b.old, seconds(gap.outage + 20));
+  if (gap.links_cut) r.cut_links(b.old, gap.before + gap.outage + 10);
+  ASSERT_TRUE(r.run_until(15, [&] { return r.leader().has_value() && *r.leader() != b.old; })) << "a successor leads";
+  for (std::size_t i = 0; i < 4; ++i) r.cancel(b.jobs.at(i), {r.others_of(b.old, 1), r.others_of(b.old, 2)});
+  const auto told = [&] {
+    return std::ranges::count_if(b.jobs,
+                                 [&](const JobId& id) { return r.rules().work(id).told_cancelled.has_value(); });
+  };
+  ASSERT_TRUE(r.run_until(10, [&] { return told() > 0; })) << "the successor confirms";
+  const Time confirmed = r.now();
+  r.store().fail_for(seconds(gap.outage));
+  if (gap.freeze > 0) {
+    r.run(1);
+    r.freeze(b.old, gap.freeze);
+  }
+  if (gap.old_returns) {
+    r.run(0.5);
+    r.kill(b.old);
+    r.run(0.4);
+    r.start(b.old);
+  }
+  r.run(gap.outage);
+  if (gap.refused_again) r.store().trouble(*r.leader()).refuses_until = r.now() + seconds(10);
+  bool met = gap.old_returns;
+  for (const auto& w : r.workers()) {
+    met = met || std::ranges::any_of(w->renewals(), [&](const auto& renewal) {
+            return renewal.first > confirmed && renewal.second == old_token;
+          });
+  }
+  EXPECT_TRUE(met || gap.freeze > 0) << "else no worker kept to the old leader after the confirmation";
+  b.ends_well(700);
+}
+
+TEST(meetings, gap) {
+  for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) play_gap(seed, {}, {});
+}
+
+TEST(meetings, gap_varied) {
+  Gap cut;
+  cut.links_cut = true;
+  Gap brief;
+  brief.outage = 15;
+  Gap again;
+  again.refused_again = true;
+  Gap frozen;
+  frozen.freeze = 6;
+  Gap replaced;
+  replaced.old_returns = true;
+  region::Shape3 without_relay;
+  without_relay.relay = false;
+  region::Shape3 long_leases;
+  long_leases.terms = {2, 19, 30, 3, 25};  // leaves D about 2 s
+  for (const auto& shape : {region::Shape3{}, without_relay, long_leases}) {
+    for (const auto& gap : {cut, brief, again, frozen, replaced}) play_gap(7, shape, gap);
+  }
+}
+
+// ---- the eight meetings ----
+
+// 1. The old leader is cut from the store and the others; its workers and its users are not.
+TEST(meetings, leader_cut_from_store_and_controllers) {
+  for (const std::uint64_t seed : {11U, 12U, 13U}) {
+    Busy b{seed};
+    Region& r = b.r;
+    const auto old_token = r.token_of(b.old);
+    r.store().trouble(b.old).refuses_until = r.now() + seconds(40);
+    r.cut_links(b.old, 40);
+    for (auto& w : r.workers()) w->keep_to(b.old, seconds(40));
+    for (const auto& id : b.jobs) r.poll_at(id, {b.old});
+    ASSERT_TRUE(r.run_until(15, [&] { return r.leader().has_value() && *r.leader() != b.old; }));
+    const Time since = r.now();
+    for (std::size_t i = 0; i < 4; ++i) r.cancel(b.jobs.at(i), {r.others_of(b.old, 1)});
+    r.run(40);
+    EXPECT_TRUE(r.rules().work(b.jobs.at(0)).told_cancelled.has_value());
+    const bool met = std::ranges::any_of(r.workers(), [&](const auto& w) {
+      return std::ranges::any_of(w->renewals(),
+                                 [&](const auto& x) { return x.first > since && x.second == old_token; });
+    });
+    EXPECT_TRUE(met) << "else no worker was answered by the old leader beside the new one";
+    b.ends_well(700);
+  }
+}
+
+// 2. Copies of reports from earlier sessions, ticks and attempts, also at a leader that is new.
+TEST(meetings, old_reports_after_newer_ones) {
+  for (const std::uint64_t seed : {21U, 22U, 23U}) {
+    Busy b{seed, {}, 12};
+    Region& r = b.r;
+    r.around().late_reports = 0.5;
+    for (int i = 0; i < 5; ++i) {
+      r.submit_array(6, 8);
+      r.workers().at(static_cast<std::size_t>(i))->lose_everyone(seconds(13));  // a new session
+      r.run(9);
+      if (const auto l = r.leader()) r.kill_for(*l, 1);
+    }
+    EXPECT_GT(r.around().late_copies, 20U);
+    r.around().late_reports = 0;
+    r.run(20);
+    b.ends_well(400);
+  }
+}
+
+// 3. Refused alone, with an end that may or may not be stored: another leads and ends the job in another way.
+TEST(meetings, an_end_in_doubt_is_not_taken_for_stored_by_the_next_leaders_end) {
+  std::size_t met = 0;
+  for (const std::uint64_t seed : {31U, 32U, 33U, 34U, 35U, 36U}) {
+    Busy b{seed, {}, 8};
+    Region& r = b.r;
+    const JobId id = r.submit_array(1, 12);
+    const std::string key = "f/" + id.value();
+    bool taken = false;
+    r.store().make_late(
+        [&](std::size_t from, const nlohmann::json& txn) {
+          taken = taken || (from == b.old && txn.dump().find(key) != std::string::npos);
+          return taken;
+        },
+        seconds(1000));  // it is lost
+    ASSERT_TRUE(r.run_until(40, [&] { return taken; })) << "the end is sent";
+    r.store().trouble(b.old).refuses_until = r.now() + seconds(9);
+    // The others do not hear of the result before the job is cancelled.
+    for (auto& w : r.workers()) w->keep_to(b.old, seconds(12));
+    ASSERT_TRUE(r.run_until(6, [&] { return r.leader().has_value() && *r.leader() != b.old; }));
+    r.cancel(id, {r.others_of(b.old, 1), r.others_of(b.old, 2)});
+    r.run(4);
+    if (r.rules().work(id).told_cancelled) ++met;
+    r.poll_at(id, {b.old});
+    b.ends_well(300);
+  }
+  EXPECT_GT(met, 3U) << "the successor cancelled what the old leader had ended";
+}
+
+// 3 and 7. The end is stored late and read by another node, while its leader still waits for the answer.
+TEST(meetings, an_end_on_its_way_is_not_called_active) {
+  Busy b{37};
+  Region& r = b.r;
+  const JobId id = b.jobs.at(0);
+  const auto other = r.others_of(b.old, 1);
+  const std::string key = "f/" + id.value();
+  // The first try comes late, and what is tried again meanwhile is not answered either.
+  std::size_t tries = 0;
+  r.store().make_late(
+      [&](std::size_t from, const nlohmann::json& txn) {
+        return from == b.old && txn.dump().find(key) != std::string::npos && ++tries > 0;
+      },
+      seconds(1));
+  r.cut_links(b.old, 20);
+  r.poll_at(id, {b.old});
+  r.cancel(id, {other});
+  ASSERT_TRUE(r.run_until(10, [&] { return r.store().has(key); }));
+  r.store().trouble(b.old).slower = seconds(2.5);
+  r.store().trouble(b.old).slower_until = r.now() + seconds(12);
+  EXPECT_TRUE(r.run_until(8, [&] { return r.rules().work(id).told_cancelled.has_value(); })) << "by the other node";
+  std::size_t asked = 0;
+  for (int i = 0; i < 8; ++i) {
+    r.ask_once(id, b.old);
+    r.run(0.5);
+    ++asked;
+  }
+  EXPECT_GT(r.store().late(), 0U);
+  EXPECT_EQ("", r.breaches());
+  b.ends_well(700);
+}
+
+// 3. A note is read once; the job's row cannot be read in that moment.
+TEST(meetings, a_noted_job_runs_although_its_row_could_not_be_read_at_once) {
+  Busy b{38, {}, 20};
+  Region& r = b.r;
+  const auto other = r.others_of(b.old, 1);
+  r.cut_links(b.old, 400);
+  bool noted = false;
+  r.store().on_commit = [&](const nlohmann::json& txn, bool) {
+    if (txn.dump().find("\"i/job-") == std::string::npos || noted) return;
+    noted = true;
+    r.store().trouble(b.old).slower = seconds(0.9);
+    r.store().trouble(b.old).slower_until = r.now() + seconds(4);
+  };
+  const auto before = r.rules().started();
+  const JobId id = r.submit_array(2, 5, other);
+  ASSERT_TRUE(r.run_until(5, [&] { return noted; }));
+  EXPECT_TRUE(r.run_until(60, [&] { return r.rules().work(id).told_done.has_value(); })) << "it never ran";
+  EXPECT_GT(r.rules().started(), before);
+  EXPECT_EQ("", r.breaches());
+}
+
+// 4. The lead goes over and comes back, and comes back to a new process too, within seconds.
+TEST(meetings, the_lead_goes_over_and_back) {
+  for (const std::uint64_t seed : {41U, 42U, 43U, 44U}) {
+    Busy b{seed, {}, 15};
+    Region& r = b.r;
+    std::set<std::size_t> leaders;
+    std::size_t changes = 0;
+    for (int i = 0; i < 8; ++i) {
+      r.submit_array(4, 6);
+      const auto l = r.leader();
+      if (!l) {
+        r.run(2);
+        continue;
+      }
+      leaders.insert(*l);
+      if (i % 3 == 0) r.store().trouble(*l).refuses_until = r.now() + seconds(3);
+      if (i % 3 == 1) r.kill_for(*l, 0.3);
+      if (i % 3 == 2) {
+        for (std::size_t c = 0; c < 3; ++c) r.kill_for(c, c == *l ? 0.5 : 20);
+      }
+      if (!b.jobs.empty()) r.cancel(b.jobs.at(static_cast<std::size_t>(i) % b.jobs.size()), {r.pick(), r.pick()});
+      r.run_until(20, [&] { return r.leader().has_value() && r.token_of(*r.leader()) > 0; });
+      r.run(3);
+      ++changes;
+    }
+    EXPECT_GT(leaders.size(), 1U);
+    EXPECT_GT(changes, 4U);
+    r.run(25);
+    b.ends_well(400);
+  }
+}
+
+// 4. A release that waited for its turn at the cloud while the lead went over and came back: the new term knows nothing
+// of it and has placed work there.
+TEST(meetings, a_release_of_an_earlier_term_is_dropped) {
+  region::Shape3 shape;
+  shape.cloud_rps = 0.25;
+  shape.machines = 12;
+  Busy b{45, shape, 8};
+  Region& r = b.r;
+  std::size_t met = 0;
+  for (int i = 0; i < 6; ++i) {
+    const auto l = r.leader();
+    const bool planned = l && r.run_until(60, [&] { return r.logged(*l, "to be released: idle") > met; });
+    if (!planned || r.leader() != l) break;
+    met = r.logged(*l, "to be released: idle");
+    // It leads again as soon as its own lease has run out: no one else is there.
+    for (std::size_t c = 0; c < 3; ++c) {
+      if (c != *l) r.kill_for(c, 12);
+    }
+    r.store().trouble(*l).refuses_until = r.now() + seconds(2.5);
+    r.run(2.6);
+    ASSERT_TRUE(r.run_until(10, [&] { return r.leader() == l; }));
+    for (int k = 0; k < 6; ++k) r.submit_array(4, 20);
+    r.run(20);
+  }
+  EXPECT_GT(met, 0U) << "machines were to go back";
+  EXPECT_EQ(0U, r.released_busy());
+  b.ends_well(700);
+}
+
+// 4 and 7. Another node writes a note anew while the leader removes the one before: that is no reason to give way.
+TEST(meetings, a_note_written_anew_does_not_end_a_leadership) {
+  Busy b{46};
+  Region& r = b.r;
+  const auto other = r.others_of(b.old, 1);
+  r.cut_links(b.old, 40);
+  const std::string key = "i/" + b.jobs.at(0).value();
+  bool late = false;
+  r.store().make_late(
+      [&](std::size_t from, const nlohmann::json& txn) {
+        late = late || (from == b.old && txn.dump().find("\"remove\":\"" + key) != std::string::npos);
+        return late;
+      },
+      seconds(3));
+  r.cancel(b.jobs.at(0), {other});
+  ASSERT_TRUE(r.run_until(10, [&] { return late; })) << "the note's removal is sent";
+  r.run(0.3);
+  r.store().write(key, {{"cancel", true}, {"node", "beech"}});  // the same user, by another node
+  r.run(12);
+  EXPECT_EQ(b.old, r.leader());
+  EXPECT_EQ(0U, r.logged(b.old, "leads no more"));
+  EXPECT_TRUE(r.run_until(10, [&] { return !r.store().has(key); })) << "and the note goes in the end";
+  b.ends_well(700);
+}
+
+// 5. Jobs of two or three tasks that end far apart, with a new leader in between.
+TEST(meetings, small_jobs_end_far_apart_across_changes_of_leader) {
+  for (const std::uint64_t seed : {51U, 52U, 53U}) {
+    Busy b{seed, {}, 5};
+    Region& r = b.r;
+    std::vector<JobId> small;
+    for (std::uint32_t i = 0; i < 8; ++i) {
+      const JobId id = r.submit_array(2 + i % 2, 4);
+      r.rules().works().at(id).stagger_s = 14;
+      small.push_back(id);
+    }
+    std::size_t apart = 0;
+    for (int i = 0; i < 5; ++i) {
+      r.run(7);
+      apart += static_cast<std::size_t>(std::ranges::count_if(small, [&](const JobId& id) {
+        const auto& w = r.rules().work(id);
+        return !w.completed.empty() && w.completed.size() < w.spec.tasks;
+      }));
+      if (const auto l = r.leader()) r.kill_for(*l, seed % 2 == 0 ? 0.2 : 5);
+    }
+    EXPECT_GT(apart, 4U) << "the leader ended between the ends of a job's tasks";
+    b.ends_well(400);
+  }
+}
+
+// 6. The leader ends while machines with long tasks are away, or do not hear the next one. Team and zones are full.
+TEST(meetings, the_leader_ends_while_machines_are_away_or_deaf) {
+  for (const std::uint64_t seed : {61U, 62U, 63U, 64U}) {
+    region::Shape3 shape;
+    shape.team_gpus = 24;
+    Busy b{seed, shape, 60};
+    Region& r = b.r;
+    for (int i = 0; i < 3; ++i) {
+      JobSpec gang;
+      gang.shape = Shape::gang;
+      gang.tasks = 2;
+      gang.need = {4, 4, 8};
+      gang.one_zone = true;
+      r.submit(gang, 20);
+    }
+    const double away = seed % 2 == 0 ? 7 : 25;  // within the lease, and beyond it
+    std::size_t with_work = 0;
+    for (std::size_t i = 0; i < r.workers().size(); i += 2) {
+      auto& w = *r.workers().at(i);
+      if (w.busy()) ++with_work;
+      if (seed < 63) {
+        w.go_deaf(seconds(away));
+      } else {
+        w.lose_everyone(seconds(away));
+      }
+    }
+    EXPECT_GT(with_work, 0U);
+    r.kill_for(b.old, 6);
+    ASSERT_TRUE(r.run_until(20, [&] { return r.leader().has_value(); }));
+    r.cancel(b.jobs.at(0), {r.others_of(b.old, 1)});
+    r.run(40);
+    b.ends_well(700);
+  }
+}
+
+// 7. The leader's own submission is stored after it gave it up: no note goes with it.
+TEST(meetings, a_submission_stored_late_runs) {
+  Busy b{71, {}, 20};
+  Region& r = b.r;
+  const auto other = r.others_of(b.old, 1);
+  bool late = false;
+  r.store().make_late(
+      [&](std::size_t from, const nlohmann::json& txn) {
+        late = late || (from == b.old && txn.dump().find("\"set\":\"j/") != std::string::npos);
+        return late;
+      },
+      seconds(3));
+  const JobId id = r.submit_array(2, 5, b.old);
+  ASSERT_TRUE(r.run_until(3, [&] { return late; }));
+  r.poll_at(id, {other});
+  r.cut_links(b.old, 8);
+  EXPECT_TRUE(r.run_until(60, [&] { return r.rules().work(id).told_done.has_value(); })) << "it never ran";
+  EXPECT_EQ(1U, r.store().late());
+  EXPECT_EQ("", r.breaches());
+}
+
+TEST(meetings, writes_carried_out_late) {
+  std::size_t late = 0;
+  std::size_t refused = 0;
+  for (const std::uint64_t seed : {72U, 73U, 74U}) {
+    Busy b{seed, {}, 12};
+    Region& r = b.r;
+    for (std::size_t c = 0; c < 3; ++c) {
+      r.store().trouble(c).late_share = 0.3;
+      r.store().trouble(c).late_until = r.now() + seconds(60);
+    }
+    for (int i = 0; i < 6; ++i) {
+      const JobId id = r.submit_array(3, 4);
+      r.run(5);
+      if (i % 2 == 0) r.cancel(id, {r.pick(), r.pick()});
+      if (i == 3 && r.leader()) r.kill_for(*r.leader(), 0.3);
+      r.run(5);
+    }
+    r.run(15);
+    late += r.store().late();
+    refused += r.store().late_refused();
+    b.ends_well(400);
+  }
+  EXPECT_GT(late, 5U);
+  EXPECT_GT(refused, 10U);
+}
+
+// 8. A start is held on its way while the job is cancelled, and the store fails in the moment in which its worker
+// would be told: the start comes after the job's tasks have to be gone.
+TEST(meetings, a_start_held_longer_than_a_cancellation_may_take) {
+  Busy b{81};
+  Region& r = b.r;
+  for (auto& w : r.workers()) w->hold_next_start(seconds(40));
+  const JobId id = r.submit_array(1, 100);
+  Worker* holder = nullptr;
+  ASSERT_TRUE(r.run_until(10, [&] { return r.logged(b.old, "task " + id.value() + "/0 attempt 1 placed") > 0; }));
+  const auto& machines = r.machines_of(b.old, id);
+  for (auto& w : r.workers()) {
+    if (machines.contains(w->id())) holder = w.get();
+  }
+  ASSERT_NE(nullptr, holder);
+  r.run(2.2);  // the command is unanswered
+  // No report of it arrives until the leader cannot prove itself any more.
+  holder->lose_reports(seconds(4));
+  r.cancel(id, {b.old});
+  ASSERT_TRUE(r.run_until(2, [&] { return r.rules().work(id).told_cancelled.has_value(); }));
+  r.store().fail_for(seconds(11));
+  r.run(45);
+  EXPECT_GT(holder->executed_late(), 0U) << "the start was held";
+  EXPECT_EQ("", r.breaches());
+  b.ends_well(700);
+}
+
+// ---- generated: two to four troubles, wherever they meet ----
+
+class Troubles {
+ public:
+  Troubles(Region& r, std::uint64_t seed) : r_(r), random_(seed) {}
+
+  std::string draw() {
+    const auto c = leader_or_any();
+    const double t = between(1, 30);
+    switch (random_() % 15) {
+      case 0:
+        r_.store().trouble(c).refuses_until = r_.now() + seconds(t);
+        return "refused alone";
+      case 1:
+        r_.store().fail_for(seconds(t));
+        return "outage";
+      case 2:
+        r_.kill_for(c, between(0.1, 8));
+        return "killed";
+      case 3:
+        for (std::size_t i = 0; i < 3; ++i) r_.kill_for(i, between(0.1, 8));
+        return "all killed";
+      case 4:
+        r_.cut_links(c, t);
+        return "links cut";
+      case 5:
+        r_.cut_links(c, t);
+        r_.store().trouble(c).refuses_until = r_.now() + seconds(t);
+        return "cut from the store and the others";
+      case 6:
+        r_.store().slow_down(seconds(between(0.1, 1.2)), r_.now() + seconds(t));
+        return "slow store";
+      case 7:
+        for (std::size_t i = 0; i < 3; ++i) r_.store().trouble(i).late_until = r_.now() + seconds(t);
+        for (std::size_t i = 0; i < 3; ++i) r_.store().trouble(i).late_share = between(0.05, 0.5);
+        return "late writes";
+      case 8:
+        r_.around().late_reports = between(0.05, 0.4);
+        return "late reports";
+      case 9:
+        for (auto& w : r_.workers()) {
+          if (between(0, 1) < 0.4) w->go_deaf(seconds(t));
+        }
+        return "deaf machines";
+      case 10:
+        for (auto& w : r_.workers()) {
+          if (between(0, 1) < 0.4) w->hang(seconds(t));
+        }
+        return "hanging machines";
+      case 11:
+        for (auto& w : r_.workers()) {
+          if (between(0, 1) < 0.6) w->hold_next_start(seconds(between(2, 40)));
+        }
+        return "held commands";
+      case 12:
+        r_.freeze(c, between(0.5, 15));
+        return "frozen";
+      case 13:
+        for (auto& w : r_.workers()) {
+          if (between(0, 1) < 0.5) w->keep_to(c, seconds(t));
+        }
+        return "machines that reach one controller alone";
+      default:
+        for (auto& w : r_.workers()) {
+          if (between(0, 1) < 0.4) w->lose_everyone(seconds(t));
+        }
+        return "machines cut off";
+    }
+  }
+  double between(double a, double b) { return std::uniform_real_distribution<>{a, b}(random_); }
+  std::uint64_t number() { return random_(); }
+
+ private:
+  std::size_t leader_or_any() {
+    const auto l = r_.leader();
+    return l && between(0, 1) < 0.8 ? *l : random_() % 3;
+  }
+  Region& r_;
+  std::mt19937_64 random_;
+};
+
+JobSpec some_job(Troubles& t) {
+  JobSpec s;
+  s.shape = t.number() % 2 == 0 ? Shape::gang : Shape::array;
+  s.rank = static_cast<Rank>(t.number() % 4);
+  s.tasks = 1 + static_cast<std::uint32_t>(t.number() % (s.shape == Shape::gang ? 3 : 6));
+  s.need = {4, s.shape == Shape::gang ? 4.0 : 1.0, 8};
+  s.one_zone = t.number() % 3 == 0;
+  s.spot = t.number() % 2 == 0;
+  s.checkpoint_s = t.number() % 2 == 0 ? 5 : 0;
+  s.save_s = 2;
+  return s;
+}
+
+// One day of a region: users submit, ask and cancel at any controller, while troubles meet. Returns what befell it.
+std::string play_day(std::uint64_t seed, std::string& breaches) {
+  region::Shape3 shape;
+  shape.relay = seed % 4 != 0;
+  shape.team_gpus = seed % 3 == 0 ? 20 : 1000;
+  Region r{seed, shape};
+  Troubles troubles{r, seed ^ 0x5eedU};
+  std::string what;
+  if (const char* t = std::getenv("HUNT_TRACE")) {
+    r.store().on_commit = [&r, t](const nlohmann::json& txn, bool late) {
+      if (txn.dump().find(t) != std::string::npos)
+        std::fprintf(stderr, "%.3f %s %s\n", to_seconds(r.now().time_since_epoch()), late ? "LATE" : "",
+                     txn.dump().c_str());
+    };
+  }
+  r.run_until(20, [&] { return r.leader().has_value(); });
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 90; ++i) {
+    if (i < 60 && troubles.between(0, 1) < 0.25) jobs.push_back(r.submit(some_job(troubles), troubles.between(2, 40)));
+    if (!jobs.empty() && troubles.between(0, 1) < 0.12) {
+      r.cancel(jobs.at(troubles.number() % jobs.size()), {r.pick(), r.pick()});
+    }
+    if (i > 5 && i < 70 && troubles.between(0, 1) < 0.06) {
+      what += std::to_string(i) + " " + troubles.draw() + "; ";
+    }
+    r.run(1);
+  }
+  r.run(30);  // the longest trouble
+  r.around().late_reports = 0;
+  r.rules().all_troubles_over(r.now());
+  const bool over = r.run_until(600, [&] { return r.all_over() || !r.rules().breaches().empty(); });
+  if (r.rules().breaches().empty()) r.run(40);
+  breaches = r.breaches();
+  if (const char* t = std::getenv("HUNT_TRACE")) {
+    for (std::size_t c = 0; c < 3; ++c)
+      for (const auto& l : r.log(c))
+        if (l.find(t) != std::string::npos || l.find("lead") != std::string::npos)
+          std::fprintf(stderr, "%zu %s\n", c, l.c_str());
+  }
+  if (!over) breaches += "jobs that never end: " + r.unfinished() + "\n";
+  return what;
+}
+
+TEST(meetings, hunt) {
+  const char* from = std::getenv("HUNT_FROM");
+  const std::uint64_t first = from == nullptr ? 1 : std::strtoull(from, nullptr, 10);
+  const char* n = std::getenv("HUNT_DAYS");
+  const std::uint64_t days = n == nullptr ? 12 : std::strtoull(n, nullptr, 10);
+  for (std::uint64_t seed = first; seed < first + days; ++seed) {
+    std::string breaches;
+    const auto what = play_day(seed, breaches);
+    EXPECT_EQ("", breaches) << "seed " << seed << ": " << what;
+  }
+}
+
+}  // namespace
+}  // namespace martenwall
--- /dev/null
+++ b/tests/region/region.hpp
@@ -0,0 +1,133 @@
+// A region on loopback in virtual time: controllers with the real code of a whole node, each on a loop and a clock of
+// its own, and stand-ins for the state service, the cloud, workers and users. The clock moves only when nothing is
+// left to do at this moment, so that minutes take seconds and no verdict depends on how fast the machine is.
+#pragma once
+#include <spdlog/logger.h>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rules.hpp"
+#include "service/node.hpp"
+#include "store.hpp"
+#include "worker.hpp"
+
+namespace martenwall::region {
+
+struct Shape3 {
+  std::size_t controllers = 3, machines = 8;
+  bool relay = true;
+  WorkerTerms terms{2, 10, 30, 3, 24};
+  double team_gpus = 1000;
+  double cloud_rps = 10;
+};
+
+class Region {
+ public:
+  Region(std::uint64_t seed, Shape3 shape);
+  ~Region() = default;
+  Region(const Region&) = delete;
+  Region& operator=(const Region&) = delete;
+  Region(Region&&) = delete;
+  Region& operator=(Region&&) = delete;
+
+  void run(double seconds_long);
+  // Until it is so; false where it did not come to pass in that time.
+  bool run_until(double longest, const std::function<bool()>& so);
+
+  // Controllers.
+  void kill(std::size_t c);
+  void kill_for(std::size_t c, double s);  // and a new process after that
+  void start(std::size_t c);               // a new process
+  void freeze(std::size_t c, double s) { controllers_.at(c).frozen_until = now_ + seconds(s); }
+  void cut_links(std::size_t c, double s) { controllers_.at(c).links_cut_until = now_ + seconds(s); }
+  void cut_users(std::size_t c, double s) { controllers_.at(c).users_cut_until = now_ + seconds(s); }
+  [[nodiscard]] std::optional<std::size_t> leader() const;  // that holds the key in the store
+  [[nodiscard]] std::uint64_t token_of(std::size_t c) const;
+  [[nodiscard]] const std::vector<std::string>& log(std::size_t c) const { return controllers_.at(c).log; }
+  [[nodiscard]] std::size_t logged(std::size_t c, const std::string& part) const;  // lines, of all its processes
+
+  // Users: a job's user submits, polls until its end, and cancels when told to.
+  JobId submit(JobSpec spec, double run_s);
+  JobId submit_array(std::uint32_t tasks, double run_s, std::optional<std::size_t> at = {});
+  void cancel(const JobId& id, std::vector<std::size_t> at);  // asks these controllers in turn until it is answered
+  void poll_at(const JobId& id, std::vector<std::size_t> at) { users_.at(id).at = std::move(at); }
+  void ask_once(const JobId& id, std::size_t at) { rt::spawn(poll(id, at)); }
+  // Where this leader believes tasks of the job to be.
+  [[nodiscard]] std::set<MachineId> machines_of(std::size_t c, const JobId& id) const;
+  [[nodiscard]] bool all_over() const;
+  [[nodiscard]] std::string breaches() const;
+  [[nodiscard]] std::string unfinished() const;  // accepted jobs that are not over
+
+  [[nodiscard]] Store& store() { return store_; }
+  [[nodiscard]] Rules& rules() { return rules_; }
+  [[nodiscard]] std::vector<std::unique_ptr<Worker>>& workers() { return workers_; }
+  [[nodiscard]] Around& around() { return around_; }
+  [[nodiscard]] Time now() const { return now_; }
+  double roll() { return std::uniform_real_distribution<>{0, 1}(random_); }
+  [[nodiscard]] std::size_t pick() {
+    return static_cast<std::size_t>(roll() * static_cast<double>(shape_.controllers));
+  }
+  [[nodiscard]] std::size_t others_of(std::size_t c, std::size_t step) const { return (c + step) % shape_.controllers; }
+  [[nodiscard]] const std::vector<std::string>& hires() const { return hires_; }
+  [[nodiscard]] std::size_t released_busy() const { return released_busy_; }  // machines, with work on them
+
+ private:
+  struct Process {
+    rt::Loop loop;
+    std::unique_ptr<service::Node> node;
+    explicit Process(rt::Loop::Clock clock) : loop(std::move(clock)) {}
+  };
+  struct Controller {
+    std::string name;
+    double drift = 0;
+    std::unique_ptr<Process> process;
+    std::unique_ptr<rt::HttpServer> store_front;
+    std::vector<std::unique_ptr<rt::Listener>> links;  // from each other controller to this one
+    Time frozen_until{}, links_cut_until{}, users_cut_until{}, starts_at{};
+    std::vector<std::string> log;
+  };
+  struct User {
+    std::vector<std::size_t> at;  // asks these in turn; empty: any
+    std::size_t next = 0;
+    bool cancelling = false;
+    std::vector<std::size_t> cancels_at;
+  };
+  bool pass();  // all loops once; false where none had anything to do
+  [[nodiscard]] config::Settings settings_of(std::size_t c) const;
+  rt::Task<void> accept_links(std::size_t from, std::size_t to, rt::Listener& listener);
+  rt::Task<void> carry(rt::Socket from, std::size_t a, std::size_t b);
+  rt::Task<void> pump(std::shared_ptr<rt::Socket> from, std::shared_ptr<rt::Socket> to, std::size_t a, std::size_t b);
+  [[nodiscard]] bool linked(std::size_t a, std::size_t b) const;
+  rt::Task<void> ticks();
+  rt::Task<void> user(JobId id);
+  rt::Task<void> poll(JobId id, std::size_t at);
+  rt::Task<void> cancelling(JobId id);
+  rt::Task<rt::HttpResult> ask(std::size_t controller, std::string method, std::string target, std::string body,
+                               double limit_s);
+  [[nodiscard]] std::size_t next_for(User& u, const std::vector<std::size_t>& at);
+  rt::Task<rt::HttpResponse> cloud(rt::HttpMessage request);
+  rt::HttpResponse hire(const nlohmann::json& wanted);
+  Worker& add_worker(const std::string& zone, bool spot, double boots_in);
+
+  Time now_{seconds(5000)};
+  std::mt19937_64 random_;
+  Shape3 shape_;
+  rt::Loop loop_;  // of everything but the controllers
+  Store store_;
+  Rules rules_;
+  Around around_;
+  rt::HttpServer cloud_;
+  rt::HttpClient client_;
+  std::vector<Controller> controllers_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::map<JobId, User> users_;
+  std::vector<std::string> hires_;
+  std::map<std::string, nlohmann::json> hired_;
+  std::size_t released_busy_ = 0;
+  std::size_t next_machine_ = 100, next_job_ = 0;
+};
+
+}  // namespace martenwall::region
