--- a/src/service/leader_store.hpp
+++ b/src/service/leader_store.hpp
@@ -24,6 +24,7 @@
   rt::Task<std::optional<JobStatus>> wait_final(JobId id, Duration longest);
 
  private:
+  static constexpr Duration read_again = seconds(0.2);
   struct Chunk {
     std::vector<wire::Condition> when;
     std::vector<wire::StoreOp> then;
