--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -147,7 +147,8 @@
   Session session;
   Session ended_session{0};  // this one and all before it are surely over
   Tick tick;
-  bool seen = false;  // reported to this leadership
+  bool seen = false;     // reported to this leadership
+  Time session_heard{};  // when the session was first heard of: it began no later
   Time first_known{}, last_ok{}, last_heard{}, last_beat{}, phase_since{}, idle_since{};
   std::optional<Time> taken_at;   // spot notice
   std::optional<Time> listed_at;  // first seen in the cloud's list
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -178,6 +178,7 @@
   // What the store says of a machine's session may be older than what it says of its tasks, or missing: until the
   // machine has reported to this leader, another session proves nothing (the simulation found tasks started twice).
   if (m.seen && r.session != m.session) new_session(m, r, now);
+  if (!m.seen || r.session != m.session) m.session_heard = now;
   m.session = r.session;
   m.tick = r.tick;
   if (!m.seen) {
@@ -550,6 +551,13 @@
 
 // ---- time ----
 
+void Scheduler::free_inherited(Machine& m, Time now) {
+  for (auto& p : m.placements) {
+    if (p.inherited && p.occupies()) vacate(m, p, now, "the lease in which it was placed has ended");
+  }
+  sweep(m);
+}
+
 void Scheduler::expire(Time now) {
   const Duration lease = seconds(setup_.terms.lease_s * drift_allowance) + setup_.policy.margin;
   for (auto& [id, m] : machines_) {
@@ -557,6 +565,13 @@
     // One that is being returned stays in its phase: it is looked at once, not each round until it is gone.
     if (m.phase() == MachinePhase::releasing && m.placements.empty()) continue;
     if (now <= m.last_ok + lease) continue;
+    if (now <= m.session_heard + lease) {
+      // Unanswered, a session lasts for a lease from its beginning, which was perhaps a moment ago: what this leader
+      // placed in it is there (`ran_twice` in the simulation, on a machine that was deaf). Earlier leaders' work is
+      // not: of sessions that began later they knew nothing.
+      free_inherited(m, now);
+      continue;
+    }
     // Rule (b): its worker has killed everything by now.
     log_("machine " + id.value() + " lost: its lease has surely ended");
     m.enter(MachinePhase::lost, now);
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -190,6 +190,7 @@
   void vacate(Machine& m, Placement& p, Time now, const char* why);
   void give_back(Machine& m, const Placement& p, Time now);
   void sweep(Machine& m);
+  void free_inherited(Machine& m, Time now);
   void want_stop(Machine& m, Placement& p, double grace_s, Time now, const char* why);
   void stop_placed(Job& job, double grace_s, Time now, const char* why);
   void stop_in_order(Job& job, Time now, const char* why);
--- a/tests/ears_test.cpp
+++ b/tests/ears_test.cpp
@@ -96,11 +96,23 @@
       now_ += seconds(2);
       beat("i-1", first_hears);
       beat("i-2", true);
-      s_.round(now_);
-      for (auto rows = s_.take_writes(100, true, now_); !rows.empty(); rows = s_.take_writes(100, true, now_)) {
-        s_.stored(rows, now_);
-      }
+      round();
+    }
+  }
+  // The first machine alone reports at this second and is not answered; then a round.
+  void heard_unanswered(double at_s, Session session, bool runs_what_is_placed) {
+    now_ = Time{seconds(1000 + at_s)};
+    auto r = report_of("i-1", Tick{++machines_["i-1"].tick}, session, Token{50});
+    const auto known = s_.machines().find(r.machine);
+    for (const auto& p : known->second.placements) {
+      if (runs_what_is_placed) r.tasks.push_back({p.task, p.attempt, TaskState::running, ExitCause::none, false});
     }
+    s_.on_report(r, ReportSource::beat, now_, true);
+    round();
+  }
+  void round_at(double at_s) {
+    now_ = Time{seconds(1000 + at_s)};
+    round();
   }
   [[nodiscard]] std::size_t placed_on(const char* id) const {
     std::size_t out = 0;
@@ -119,6 +131,12 @@
     Time answered{seconds(1000)};
     std::vector<TaskReport> tasks;
   };
+  void round() {
+    s_.round(now_);
+    for (auto rows = s_.take_writes(100, true, now_); !rows.empty(); rows = s_.take_writes(100, true, now_)) {
+      s_.stored(rows, now_);
+    }
+  }
   static Scheduler::Setup setup() {
     Scheduler::Setup u;
     u.terms = {2, 14, 40, 4, 34};
@@ -186,6 +204,22 @@
   EXPECT_EQ(0U, w.placed_on("i-1"));
 }
 
+// The simulation, of a machine that had been deaf: left unanswered, its session ended, and the next one had just begun
+// when the lease since the last answer was over. What was placed in it was given up and started elsewhere: ran_twice.
+TEST(ears, a_session_that_has_just_begun_lasts_for_a_lease_of_its_own) {
+  Ward w{true};
+  w.heard_unanswered(12, Session{2}, false);
+  w.heard_unanswered(13, Session{2}, false);
+  w.heard_unanswered(14, Session{2}, true);
+  ASSERT_EQ(1U, w.placed_on("i-1"));
+  w.round_at(16.5);
+  EXPECT_EQ(1U, w.placed_on("i-1")) << "it was answered last 16 s ago, and began 5 s ago at the most";
+  w.round_at(26);
+  EXPECT_EQ(1U, w.placed_on("i-1"));
+  w.round_at(27.5);
+  EXPECT_EQ(0U, w.placed_on("i-1"));
+}
+
 TEST(ears, where_half_of_the_fleet_is_deaf_none_of_it_goes_back) {
   Ward w{false};
   w.run(60, false);
