--- a/src/service/job_rows.cpp
+++ b/src/service/job_rows.cpp
@@ -37,7 +37,9 @@
 
 rt::Task<JobRows::Read> JobRows::read(JobId id) {
   Read plain = co_await read_at(id, false);
-  if (plain.outcome != ReadOutcome::absent || ctx_.level < wire::this_level) co_return plain;
+  // Whatever level this node knows of: one that has just begun, or was cut off while the level rose, would else call a
+  // job that awaits others never accepted.
+  if (plain.outcome != ReadOutcome::absent) co_return plain;
   co_return co_await read_at(id, true);
 }
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -330,6 +330,32 @@
   b.ends_well(700);
 }
 
+// 4. A process that has just begun, and that the store refused until now, does not know yet what all nodes understand:
+// a job that awaits others stands at a key that it would not look at.
+TEST(meetings, a_node_that_begins_finds_jobs_that_await_others) {
+  Busy b{47};
+  Region& r = b.r;
+  const auto other = r.others_of(b.old, 1);
+  ASSERT_TRUE(r.run_until(20, [&] { return r.logged(b.old, "all nodes have reached level") > 0; }));
+  JobSpec chained;
+  chained.tasks = 1;
+  chained.need = {1, 1, 8};
+  chained.awaits = {b.jobs.at(0)};
+  const JobId id = r.submit(chained, 5);
+  ASSERT_TRUE(r.run_until(10, [&] { return r.rules().work(id).accepted.has_value(); }));
+  r.kill(other);
+  r.start(other);
+  r.cut_links(other, 10);
+  r.store().trouble(other).refuses_until = r.now() + seconds(3);
+  r.run(2.9);
+  for (int i = 0; i < 40; ++i) {
+    r.ask_once(id, other);
+    r.run(0.02);
+  }
+  EXPECT_EQ("", r.breaches());
+  b.ends_well(700);
+}
+
 // 5. Jobs of two or three tasks that end far apart, with a new leader in between.
 TEST(meetings, small_jobs_end_far_apart_across_changes_of_leader) {
   for (const std::uint64_t seed : {51U, 52U, 53U}) {
--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -67,6 +67,7 @@
   [[nodiscard]] Around& around() { return around_; }
   [[nodiscard]] Time now() const { return now_; }
   double roll() { return std::uniform_real_distribution<>{0, 1}(random_); }
+  [[nodiscard]] std::size_t controllers() const { return controllers_.size(); }
   [[nodiscard]] std::size_t pick() {
     return static_cast<std::size_t>(roll() * static_cast<double>(shape_.controllers));
   }
--- a/tests/region/rules.hpp
+++ b/tests/region/rules.hpp
@@ -46,6 +46,7 @@
   [[nodiscard]] bool anywhere(const JobId& id) const;
 
  private:
+  [[nodiscard]] bool asked_to_cancel(const JobId& id) const;
   void breach(const std::string& what, Time now);
   struct On {
     TaskId task;
