--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -14,7 +14,7 @@
 constexpr Duration look_up_every = seconds(0.1);
 constexpr Duration look_up_pause = seconds(0.2);
 constexpr Duration look_up_again = seconds(1);  // a job that is to be found at neither key nor among those over
-constexpr std::size_t worth_a_run = 3;  // so many ends are read in runs of neighbours rather than one by one
+constexpr std::size_t worth_a_run = 3;          // so many ends are read in runs of neighbours rather than one by one
 }  // namespace
 
 std::uint32_t Context::legacy_size_for(std::size_t value_bytes) {
