--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -212,11 +212,9 @@
   r.store().trouble(b.old).slower = seconds(2.5);
   r.store().trouble(b.old).slower_until = r.now() + seconds(12);
   EXPECT_TRUE(r.run_until(8, [&] { return r.rules().work(id).told_cancelled.has_value(); })) << "by the other node";
-  std::size_t asked = 0;
   for (int i = 0; i < 8; ++i) {
     r.ask_once(id, b.old);
     r.run(0.5);
-    ++asked;
   }
   EXPECT_GT(r.store().late(), 0U);
   EXPECT_EQ("", r.breaches());
--- a/tests/region/region.cpp
+++ b/tests/region/region.cpp
@@ -274,7 +274,7 @@
 rt::Task<rt::HttpResult> Region::ask(std::size_t controller, std::string method, std::string target, std::string body,
                                      double limit_s) {
   const auto& n = controllers_.at(controller);
-  if (!n.process || now_ < n.users_cut_until) co_return rt::HttpResult{};
+  if (!n.process) co_return rt::HttpResult{};
   std::string to = at_port(n.process->node->users_port());
   co_return co_await client_.request(std::move(to), std::move(method), std::move(target), std::move(body),
                                      seconds(limit_s));
@@ -339,14 +339,14 @@
 }
 
 bool Region::all_over() const {
-  auto& works = const_cast<Region*>(this)->rules_.works();
+  const auto& works = rules_.works();
   return std::ranges::all_of(
       works, [](const auto& w) { return w.second.told_done || w.second.told_cancelled || !w.second.accepted; });
 }
 
 std::string Region::unfinished() const {
   std::string out;
-  for (const auto& [id, w] : const_cast<Region*>(this)->rules_.works()) {
+  for (const auto& [id, w] : rules_.works()) {
     if (!w.told_done && !w.told_cancelled && w.accepted) {
       out += id.value() + " " + std::to_string(w.completed.size()) + "/" + std::to_string(w.spec.tasks) + " ";
     }
@@ -372,7 +372,6 @@
 rt::HttpResponse Region::hire(const json& wanted) {
   const auto name = wanted.at("hire").get<std::string>();
   if (const auto known = hired_.find(name); known != hired_.end()) return reply(200, known->second);
-  hires_.push_back(name);
   json hosts = json::array();
   const auto count = wanted.at("count").get<std::size_t>();
   for (std::size_t i = 0; i < count && workers_.size() < most_machines; ++i) {
--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -43,7 +43,6 @@
   void start(std::size_t c);               // a new process
   void freeze(std::size_t c, double s) { controllers_.at(c).frozen_until = now_ + seconds(s); }
   void cut_links(std::size_t c, double s) { controllers_.at(c).links_cut_until = now_ + seconds(s); }
-  void cut_users(std::size_t c, double s) { controllers_.at(c).users_cut_until = now_ + seconds(s); }
   [[nodiscard]] std::optional<std::size_t> leader() const;  // that holds the key in the store
   [[nodiscard]] std::uint64_t token_of(std::size_t c) const;
   [[nodiscard]] const std::vector<std::string>& log(std::size_t c) const { return controllers_.at(c).log; }
@@ -72,7 +71,6 @@
     return static_cast<std::size_t>(roll() * static_cast<double>(shape_.controllers));
   }
   [[nodiscard]] std::size_t others_of(std::size_t c, std::size_t step) const { return (c + step) % shape_.controllers; }
-  [[nodiscard]] const std::vector<std::string>& hires() const { return hires_; }
   [[nodiscard]] std::size_t released_busy() const { return released_busy_; }  // machines, with work on them
 
  private:
@@ -87,7 +85,7 @@
     std::unique_ptr<Process> process;
     std::unique_ptr<rt::HttpServer> store_front;
     std::vector<std::unique_ptr<rt::Listener>> links;  // from each other controller to this one
-    Time frozen_until{}, links_cut_until{}, users_cut_until{}, starts_at{};
+    Time frozen_until{}, links_cut_until{}, starts_at{};
     std::vector<std::string> log;
   };
   struct User {
@@ -125,7 +123,6 @@
   std::vector<Controller> controllers_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::map<JobId, User> users_;
-  std::vector<std::string> hires_;
   std::map<std::string, nlohmann::json> hired_;
   std::size_t released_busy_ = 0;
   std::size_t next_machine_ = 100, next_job_ = 0;
--- a/tests/region/rules.cpp
+++ b/tests/region/rules.cpp
@@ -29,10 +29,6 @@
   }
 }
 
-bool Rules::anywhere(const JobId& id) const {
-  return std::ranges::any_of(on_, [&](const auto& o) { return o.first.task.job == id; });
-}
-
 void Rules::starts(const TaskId& task, const MachineId& on, const std::string& zone, bool spot, Time now) {
   ++started_;
   const auto& w = works_.at(task.job);
--- a/tests/region/rules.hpp
+++ b/tests/region/rules.hpp
@@ -20,7 +20,6 @@
   Time submitted{};
   std::optional<Time> accepted, cancel_asked, told_done, told_cancelled;
   Time answered{};  // the last answer to any question about it
-  std::optional<std::string> wrong;
 };
 
 class Rules {
@@ -29,6 +28,7 @@
   Work& add(JobSpec spec, double run_s, Time now);
   [[nodiscard]] const Work& work(const JobId& id) const { return works_.at(id); }
   [[nodiscard]] std::map<JobId, Work>& works() { return works_; }
+  [[nodiscard]] const std::map<JobId, Work>& works() const { return works_; }
   [[nodiscard]] const Work* find(const JobId& id) const;
 
   void starts(const TaskId& task, const MachineId& on, const std::string& zone, bool spot, Time now);
@@ -42,8 +42,6 @@
 
   [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
   [[nodiscard]] std::size_t started() const { return started_; }
-  [[nodiscard]] std::size_t on_machines() const { return on_.size(); }
-  [[nodiscard]] bool anywhere(const JobId& id) const;
 
  private:
   [[nodiscard]] bool asked_to_cancel(const JobId& id) const;
--- a/tests/region/worker.cpp
+++ b/tests/region/worker.cpp
@@ -47,11 +47,6 @@
   return std::ranges::any_of(tasks_, [](const auto& t) { return t.second.phase != "ended"; });
 }
 
-bool Worker::holds(const JobId& job) const {
-  return std::ranges::any_of(tasks_,
-                             [&](const auto& t) { return t.first.first.job == job && t.second.phase != "ended"; });
-}
-
 void Worker::take_away() {
   gone_ = true;
   for (auto& [key, t] : tasks_) around_.rules.leaves(key.first, id_);
--- a/tests/region/worker.hpp
+++ b/tests/region/worker.hpp
@@ -38,12 +38,9 @@
   [[nodiscard]] bool spot() const { return spot_; }
   [[nodiscard]] bool up() const;
   [[nodiscard]] bool gone() const { return gone_; }
-  [[nodiscard]] std::uint64_t token() const { return token_; }
-  [[nodiscard]] std::uint64_t session() const { return session_; }
   // Tokens of the answers that renewed its lease, and when.
   [[nodiscard]] const std::vector<std::pair<Time, std::uint64_t>>& renewals() const { return renewals_; }
   [[nodiscard]] bool busy() const;
-  [[nodiscard]] bool holds(const JobId& job) const;
   [[nodiscard]] std::size_t executed_late() const { return executed_late_; }  // commands, after their sender gave up
 
   void go_deaf(Duration time) { deaf_until_ = around_.loop.now() + time; }         // answers and commands are lost
