--- a/tests/meetings_hunt_test.cpp
+++ b/tests/meetings_hunt_test.cpp
@@ -16,7 +16,7 @@
   std::string draw() {
     const auto c = leader_or_any();
     const double t = between(1, 30);
-    switch (random_() % 15) {
+    switch (random_() % 24) {
       case 0:
         r_.store().trouble(c).refuses_until = r_.now() + seconds(t);
         return "refused alone";
@@ -44,7 +44,7 @@
         for (std::size_t i = 0; i < r_.controllers(); ++i) r_.store().trouble(i).late_share = between(0.05, 0.5);
         return "late writes";
       case 8:
-        r_.around().late_reports = between(0.05, 0.4);
+        r_.environment().late_reports = between(0.05, 0.4);
         return "late reports";
       case 9:
         for (auto& w : r_.workers()) {
@@ -69,17 +69,77 @@
           if (between(0, 1) < 0.5) w->keep_to(c, seconds(t));
         }
         return "machines that reach one controller alone";
-      default:
+      case 14:
         for (auto& w : r_.workers()) {
           if (between(0, 1) < 0.4) w->lose_everyone(seconds(t));
         }
         return "machines cut off";
+      default:
+        return draw_further(c, t);
+    }
+  }
+  // The jobs that users call off by these troubles.
+  std::vector<JobId> jobs;
+  std::string draw_further(std::size_t c, double t) {
+    switch (random_() % 9) {
+      case 0:
+        for (std::size_t i = 0; i < r_.controllers(); ++i) {
+          auto& trouble = r_.store().trouble(i);
+          trouble.late_share = between(0.05, 0.5);
+          trouble.at_once = true;
+          trouble.late_until = r_.now() + seconds(t);
+        }
+        return "only answers lost";
+      case 1:
+        r_.environment().kept_reports = between(0.05, 0.5);
+        r_.environment().kept_for_s = between(0, 1) < 0.5 ? 0 : between(0, 15);
+        return "old reports for the next leader";
+      case 2:
+        for (auto& w : r_.workers()) {
+          if (between(0, 1) < 0.4) w->go_mute(seconds(t));
+        }
+        return "mute machines";
+      case 3:
+        r_.cut_zone(between(0, 1) < 0.5 ? "a" : "b", c, t);
+        return "zone cut off with a controller";
+      case 4:
+        call_off(0);
+        return "jobs called off at once";
+      case 5:
+        call_off(t);
+        return "jobs called off, their machines hang";
+      case 6:
+        for (std::size_t i = 0; i < r_.controllers(); ++i) r_.kill_for(i, t);
+        return "all away";
+      case 7:
+        r_.environment().fetch_s = between(1, 8);
+        r_.environment().fetch_more_s = between(1, 20);
+        return "slow links";
+      default:
+        r_.cancel_at_end(between(0.1, 0.6));
+        return "called off at the end";
     }
   }
   double between(double a, double b) { return std::uniform_real_distribution<>{a, b}(random_); }
   std::uint64_t number() { return random_(); }
 
  private:
+  // Within a fifth of a second; up to eight of their machines hang so long.
+  void call_off(double hang_s) {
+    std::size_t hanging = 0;
+    for (const auto& id : jobs) {
+      const auto& work = r_.rules().work(id);
+      if (work.told_done || !work.accepted || between(0, 1) < 0.5) continue;
+      r_.cancel(id, {r_.pick(), r_.pick()});
+      for (auto& w : r_.workers()) {
+        if (hang_s > 0 && hanging < 8 && w->has(id)) {
+          ++hanging;
+          w->hang(seconds(hang_s));
+        }
+      }
+      r_.run(between(0, 0.03));
+    }
+  }
   std::size_t leader_or_any() {
     const auto l = r_.leader();
     return l && between(0, 1) < 0.8 ? *l : random_() % r_.controllers();
@@ -95,6 +155,8 @@
   s.tasks = 1 + static_cast<std::uint32_t>(t.number() % (s.shape == Shape::gang ? 3 : 6));
   s.need = {4, s.shape == Shape::gang ? 4.0 : 1.0, 8};
   s.one_zone = t.number() % 3 == 0;
+  s.spread = !s.one_zone && t.number() % 4 == 0;
+  if (!s.spread && t.number() % 6 == 0) s.zone = t.number() % 2 == 0 ? "a" : "b";
   s.spot = t.number() % 2 == 0;
   s.checkpoint_s = t.number() % 2 == 0 ? 5 : 0;
   s.save_s = 2;
@@ -104,15 +166,17 @@
 
 // One day of a region: users submit, ask and cancel at any controller, while troubles meet. Returns what befell it.
 std::string play_day(std::uint64_t seed, std::string& breaches) {
-  region::Shape3 shape;
-  shape.relay = seed % 4 != 0;
-  shape.controllers = seed % 5 == 0 ? 5 : 3;
-  shape.team_gpus = seed % 3 == 0 ? 20 : 1000;
-  Region r{seed, shape};
+  region::RegionOptions options;
+  options.relay = seed % 4 != 0;
+  options.controllers = seed % 5 == 0 ? 5 : 3;
+  options.team_gpus = seed % 3 == 0 ? 20 : 1000;
+  options.boot_s = seed % 7 == 0 ? 1 : 4;
+  Region r{seed, options};
   Troubles troubles{r, seed ^ 0x5eedU};
   std::string what;
   r.run_until(20, [&] { return r.leader().has_value(); });
-  std::vector<JobId> jobs;
+  if (seed % 3 != 1) r.look_closely(seed % 2 == 0 ? 0.2 : 0);
+  auto& jobs = troubles.jobs;
   for (int i = 0; i < 90; ++i) {
     if (i < 60 && troubles.between(0, 1) < 0.25)
       jobs.push_back(r.submit(some_job(troubles, jobs), troubles.between(2, 40)));
@@ -127,7 +191,10 @@
     r.run(1);
   }
   r.run(30);  // the longest trouble
-  r.around().late_reports = 0;
+  r.environment().late_reports = r.environment().kept_reports = 0;
+  r.environment().kept.clear();
+  r.environment().fetch_s = r.environment().fetch_more_s = 1;
+  r.rules().on_complete = nullptr;
   r.rules().all_troubles_over(r.now());
   const bool over = r.run_until(600, [&] { return r.all_over() || !r.rules().breaches().empty(); });
   if (r.rules().breaches().empty()) r.run(40);
--- /dev/null
+++ b/tests/meetings_machines_test.cpp
@@ -0,0 +1,317 @@
+// Meetings in which machines take part: hanging, cut off, mute, just hired, heard of by old reports; a zone cut off,
+// all controllers away, leaders that change again and again. docs/safety.md argues each.
+#include "region/busy.hpp"
+
+namespace martenwall {
+namespace {
+
+using region::Busy;
+using region::Region;
+using region::RegionOptions;
+using region::sets;
+using region::Worker;
+
+struct LimitCase {
+  double hang = 0, cut = 0;  // of machines with cancelled work
+  bool refused = false;      // the leader is refused alone; else it ends
+  bool late_reports = false;
+};
+
+// The team is at its limit, jobs are called off whose machines hang or are cut off, and the leader changes: what may
+// still run counts until it is surely over, and what was called off ends in time.
+void play_limit(std::uint64_t seed, const LimitCase& c) {
+  SCOPED_TRACE("seed " + std::to_string(seed) + " hang " + std::to_string(c.hang) + " cut " + std::to_string(c.cut));
+  RegionOptions options;
+  options.team_gpus = 24;  // what the first jobs take
+  Busy b{seed, options, 60};
+  Region& r = b.r;
+  for (int i = 0; i < 4; ++i) r.submit_array(4, 10);
+  const std::vector<JobId> cancelled{b.jobs.begin(), b.jobs.begin() + 3};
+  const auto has_cancelled = [&](const auto& w) {
+    return std::ranges::any_of(cancelled, [&](const JobId& id) { return w->has(id); });
+  };
+  for (const auto& id : cancelled) r.cancel(id, {b.old});
+  for (auto& w : r.workers()) {
+    if (!has_cancelled(w)) continue;
+    if (c.hang > 0) w->hang(seconds(c.hang));
+    if (c.cut > 0) w->lose_everyone(seconds(c.cut));
+  }
+  if (c.late_reports) r.environment().late_reports = 0.5;
+  r.run(0.3);
+  if (c.refused) {
+    r.store().trouble(b.old).refuses_until = r.now() + seconds(20);
+  } else {
+    r.kill_for(b.old, 5);
+  }
+  ASSERT_TRUE(r.run_until(15, [&] { return r.leader().has_value() && (!c.refused || *r.leader() != b.old); }));
+  const bool told = r.rules().work(cancelled.front()).told_cancelled.has_value();
+  EXPECT_TRUE(told && std::ranges::any_of(r.workers(), has_cancelled))
+      << "else nothing of a cancelled job was left when the next leader began";
+  r.cancel(b.jobs.at(3), {r.others_of(b.old, 1), r.others_of(b.old, 2)});
+  r.run(30);
+  r.environment().late_reports = 0;
+  b.ends_well(400);
+}
+
+TEST(meetings, teams_at_their_limit_cancelled_jobs_hang_and_the_leader_changes) {
+  for (const double time : {4.0, 8.5, 9.8, 13.0, 22.0}) {  // around the lease of 10 s
+    play_limit(201, {time, 0, false, false});
+    play_limit(202, {0, time, true, false});
+    play_limit(203, {time, 0, true, true});
+    play_limit(204, {time, time + 2, false, false});
+  }
+}
+
+// Machines are up within a second and get work at once, while writes lag and the leader ends.
+TEST(meetings, machines_up_at_once_while_writes_lag_and_the_leader_ends) {
+  std::size_t hired_at_work = 0;
+  for (const std::uint64_t seed : {211U, 212U, 213U, 214U, 215U, 216U}) {
+    SCOPED_TRACE(seed);
+    RegionOptions options;
+    options.boot_s = 1;
+    Busy b{seed, options, 40};
+    Region& r = b.r;
+    for (std::size_t c = 0; c < 3; ++c) {
+      r.store().trouble(c).late_share = 0.4;
+      r.store().trouble(c).late_until = r.now() + seconds(30);
+    }
+    for (int k = 0; k < 3; ++k) {
+      const auto machines = r.workers().size();
+      for (int i = 0; i < 3; ++i) {
+        JobSpec gang;
+        gang.shape = Shape::gang;
+        gang.tasks = 2;
+        gang.need = {4, 4, 8};
+        gang.one_zone = i == 0;
+        gang.spread = i == 1;
+        r.submit(gang, 15);
+        r.submit_array(8, 10);
+      }
+      r.run_until(6, [&] { return r.workers().size() > machines && r.workers().back()->busy(); });
+      hired_at_work +=
+          static_cast<std::size_t>(std::ranges::count_if(r.workers().begin() + static_cast<std::ptrdiff_t>(machines),
+                                                         r.workers().end(), [](const auto& w) { return w->busy(); }));
+      if (const auto l = r.leader()) r.kill_for(*l, k == 1 ? 0.3 : 6);
+      r.run(6);
+    }
+    r.run(20);
+    b.ends_well(500);
+  }
+  EXPECT_GT(hired_at_work, 6U) << "new machines had work when the leader ended";
+}
+
+// Old reports reach every controller just as a new leader begins, or once it has acted: of earlier sessions and
+// attempts, of machines that went back, before and after the true ones.
+TEST(meetings, old_reports_reach_all_controllers_as_a_new_leader_begins) {
+  for (const std::uint64_t seed : {221U, 222U, 223U, 224U}) {
+    SCOPED_TRACE(seed);
+    RegionOptions options;
+    options.relay = seed % 2 == 0;
+    Busy b{seed, options, 10};
+    Region& r = b.r;
+    r.environment().kept_reports = 0.5;
+    r.environment().kept_for_s = seed > 222 ? 4 : 0;
+    for (int i = 0; i < 6; ++i) {
+      for (int k = 0; k < 3; ++k) r.submit_array(4, 9);
+      r.workers().at(static_cast<std::size_t>(i))->lose_everyone(seconds(13));  // a new session
+      r.run(8);
+      r.cancel(b.jobs.at(static_cast<std::size_t>(i)), {r.pick(), r.pick()});
+      if (const auto l = r.leader()) r.kill_for(*l, i % 2 == 0 ? 0.3 : 6);
+      r.run(5);
+    }
+    r.environment().kept_reports = 0;
+    r.environment().kept.clear();
+    EXPECT_GT(r.environment().late_copies, 20U) << "answered with 200";
+    r.run(10);
+    b.ends_well(400);
+  }
+}
+
+// Workers open no connection to any controller, while commands reach them: nothing renews their lease.
+TEST(meetings, mute_machines_hear_commands) {
+  for (const double time : {7.0, 9.9, 25.0}) {
+    for (const bool killed : {false, true}) {
+      SCOPED_TRACE(time);
+      Busy b{231, {}, 50};
+      Region& r = b.r;
+      std::vector<Worker*> mute;
+      for (std::size_t i = 0; i < r.workers().size(); i += 2) {
+        mute.push_back(r.workers().at(i).get());
+        mute.back()->go_mute(seconds(time));
+      }
+      const auto old_token = r.token_of(b.old);
+      for (int i = 0; i < 3; ++i) r.submit_array(4, 10);
+      r.run(0.5);
+      for (std::size_t i = 0; i < 2; ++i) r.cancel(b.jobs.at(i), {b.old});
+      r.run(1);
+      if (killed) r.kill_for(b.old, 8);
+      r.run(4);
+      const bool heard = std::ranges::any_of(mute, [&](Worker* w) { return w->token() > old_token; });
+      EXPECT_EQ(killed, heard) << "the next leader's announcement reaches mute machines";
+      r.run(time + 10);
+      b.ends_well(500);
+    }
+  }
+}
+
+// A zone is cut off with its workers and a controller, the leader or not, for longer than a lease.
+TEST(meetings, a_zone_with_a_controller_is_cut_off) {
+  for (const std::size_t step : {0U, 1U}) {
+    for (const double time : {8.0, 14.0, 45.0}) {
+      SCOPED_TRACE(std::to_string(step) + " " + std::to_string(time));
+      Busy b{241 + step, {}, 60};
+      Region& r = b.r;
+      JobSpec bound;
+      bound.tasks = 4;
+      bound.need = {1, 1, 8};
+      bound.one_zone = true;
+      r.submit(bound, 20);
+      r.run(4);
+      const auto inside = r.others_of(b.old, step);
+      const auto old_token = r.token_of(b.old);
+      r.cut_zone("a", inside, time);
+      r.run(0.5);
+      for (std::size_t i = 0; i < 3; ++i) r.cancel(b.jobs.at(i), {r.others_of(inside, 1), r.others_of(inside, 2)});
+      r.run(5);
+      for (int i = 0; i < 3; ++i) r.submit_array(4, 10);
+      r.run(time);
+      EXPECT_TRUE(r.rules().work(b.jobs.at(0)).told_cancelled.has_value()) << "by those outside";
+      ASSERT_TRUE(r.leader().has_value());
+      EXPECT_EQ(step == 0, r.token_of(*r.leader()) > old_token) << "a cut leader is followed by another";
+      r.run(20);
+      b.ends_well(600);
+    }
+  }
+}
+
+// All controllers are away, for less and for more than a lease; jobs were called off just before.
+TEST(meetings, all_controllers_are_away) {
+  for (const double time : {6.0, 9.5, 14.0, 30.0}) {
+    SCOPED_TRACE(time);
+    Busy b{251, {}, 60};
+    Region& r = b.r;
+    r.cancel(b.jobs.at(0), {b.old});
+    r.cancel(b.jobs.at(1), {b.old});
+    r.run(0.06);
+    for (auto& w : r.workers()) {
+      if (w->has(b.jobs.at(0))) w->hang(seconds(5));
+    }
+    for (std::size_t c = 0; c < 3; ++c) r.kill_for(c, time + 0.2 * static_cast<double>(c));
+    r.run(time + 25);
+    EXPECT_TRUE(r.rules().work(b.jobs.at(0)).told_cancelled.has_value());
+    b.ends_well(600);
+  }
+}
+
+// Jobs bound to one zone, arrays too, lose machines: no second zone while a task may live in the first, and a new one
+// once none does.
+TEST(meetings, jobs_bound_to_one_zone_lose_machines) {
+  for (const std::uint64_t seed : {261U, 262U, 263U, 264U}) {
+    SCOPED_TRACE(seed);
+    Busy b{seed, {}, 12};
+    Region& r = b.r;
+    std::vector<JobId> bound;
+    for (int i = 0; i < 4; ++i) {
+      JobSpec s;
+      s.shape = i % 2 == 0 ? Shape::array : Shape::gang;
+      s.tasks = 3;
+      s.need = {1, 2, 8};
+      s.one_zone = i < 3;
+      s.spread = i == 3;
+      bound.push_back(r.submit(s, 40));
+    }
+    r.run(12);
+    std::size_t lost = 0;
+    for (const auto& id : bound) {
+      const auto with = std::ranges::find_if(r.workers(), [&](const auto& w) { return w->has(id) && !w->gone(); });
+      if (with == r.workers().end()) continue;
+      ++lost;
+      auto& w = **with;
+      if (seed % 2 == 0) w.take_away();
+      w.lose_everyone(seconds(seed < 263 ? 25 : 7));
+    }
+    EXPECT_GT(lost, 1U);
+    if (seed == 264 && r.leader()) r.kill_for(*r.leader(), 0.3);
+    r.run(30);
+    b.ends_well(500);
+  }
+}
+
+// More work than room, urgent and not, over slow links: gangs whose images come apart, fetches given up.
+TEST(meetings, more_work_than_room_over_slow_links) {
+  RegionOptions options;
+  options.most_machines = 8;
+  Busy b{271, options, 10};
+  Region& r = b.r;
+  r.environment().fetch_s = 6;
+  r.environment().fetch_more_s = 20;
+  for (int i = 0; i < 16; ++i) {
+    JobSpec s;
+    s.shape = i % 2 == 0 ? Shape::gang : Shape::array;
+    s.rank = static_cast<Rank>(i % 4);
+    s.tasks = i % 2 == 0 ? 3 : 6;
+    s.need = {4, i % 2 == 0 ? 4.0 : 1.0, 8};
+    s.checkpoint_s = i % 3 == 0 ? 5 : 0;
+    s.save_s = 2;
+    r.submit(s, 15);
+    r.run(2);
+    if (i == 9) r.kill_for(*r.leader(), 0.3);
+  }
+  EXPECT_FALSE(r.all_over());
+  b.ends_well(900);
+}
+
+// Leaders change ten times in two minutes, also inside an outage of the store.
+TEST(meetings, leaders_change_ten_times_in_two_minutes) {
+  for (const std::uint64_t seed : {281U, 282U, 283U}) {
+    SCOPED_TRACE(seed);
+    Busy b{seed, {}, 60};
+    Region& r = b.r;
+    r.look_closely(0.2);
+    std::set<std::uint64_t> tokens;
+    for (int i = 0; i < 10; ++i) {
+      r.run_until(12, [&] { return r.leader().has_value() && !tokens.contains(r.token_of(*r.leader())); });
+      const auto l = r.leader();
+      if (l) tokens.insert(r.token_of(*l));
+      r.submit_array(2, 5);
+      if (i == 4) r.store().fail_for(seconds(7));
+      if (i % 2 == 0) r.cancel(b.jobs.at(static_cast<std::size_t>(i) / 2), {r.pick(), r.pick()});
+      r.run(0.4);
+      if (l && seed == 282) r.store().trouble(*l).refuses_until = r.now() + seconds(2.5);
+      if (l && seed != 282) r.kill_for(*l, i % 3 == 0 ? 0.2 : 4);
+      r.run(2);
+    }
+    EXPECT_GE(tokens.size(), 8U);
+    r.run(20);
+    b.ends_well(500);
+  }
+}
+
+// Jobs are called off at the very moment at which the store refuses the leader alone, and a second later it is out for
+// longer than cancel_s, with starts still on their way.
+TEST(meetings, cancelled_at_the_moment_of_the_refusal) {
+  for (const double before : {0.03, 0.0}) {
+    for (const double outage_after : {0.5, 1.0, 2.2}) {
+      SCOPED_TRACE(std::to_string(before) + " " + std::to_string(outage_after));
+      Busy b{291};
+      Region& r = b.r;
+      for (auto& w : r.workers()) w->hold_next_start(seconds(8));
+      const JobId fresh = r.submit_array(3, 60);
+      r.run(0.5);
+      std::size_t told = 0;
+      r.rules().on_news = [&](const JobId& id) { told += r.rules().work(id).told_cancelled ? 1U : 0U; };
+      for (std::size_t i = 0; i < 4; ++i) r.cancel(b.jobs.at(i), {r.others_of(b.old, i)});
+      r.cancel(fresh, {b.old});
+      r.run(before);
+      r.store().trouble(b.old).refuses_until = r.now() + seconds(45);
+      r.run(outage_after);
+      r.store().fail_for(seconds(40));
+      r.run(60);
+      EXPECT_GT(told, 0U);
+      b.ends_well(700);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace martenwall
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -2,12 +2,14 @@
 // which the meeting did not come about fails.
 #include <gtest/gtest.h>
 
-#include "region/region.hpp"
+#include "region/busy.hpp"
 
 namespace martenwall {
 namespace {
 
+using region::Busy;
 using region::Region;
+using region::sets;
 using region::Worker;
 
 TEST(meetings, a_calm_region_runs_its_jobs) {
@@ -20,32 +22,6 @@
   EXPECT_EQ(18U, r.rules().started());
 }
 
-bool sets(const nlohmann::json& txn, const std::string& prefix) {
-  const auto& then = txn.at("then");
-  return std::ranges::any_of(then, [&](const auto& op) { return op.value("set", "").starts_with(prefix); });
-}
-
-// What the region is while a leader works on long jobs.
-struct Busy {
-  Region r;
-  std::vector<JobId> jobs;
-  std::size_t old = 0;
-  explicit Busy(std::uint64_t seed, region::Shape3 shape = {}, double run_s = 150) : r(seed, shape) {
-    EXPECT_TRUE(r.run_until(20, [&] { return r.leader().has_value(); }));
-    for (int i = 0; i < 6; ++i) jobs.push_back(r.submit_array(4, run_s));
-    EXPECT_TRUE(r.run_until(60, [&] { return r.rules().started() >= 24; })) << "the jobs run";
-    r.run(3);
-    old = r.leader().value_or(0);
-  }
-  // After all troubles: what was not cancelled comes to its end, what was is answered.
-  void ends_well(double longest) {
-    r.rules().all_troubles_over(r.now());
-    EXPECT_TRUE(r.run_until(longest, [&] { return r.all_over(); })) << "every accepted job comes to its end";
-    r.run(30);
-    EXPECT_EQ("", r.breaches());
-  }
-};
-
 struct Gap {
   double before = 4;       // from the refusal to the outage, at least
   double outage = 40;      // longer than cancel_s, or not
@@ -55,9 +31,9 @@
   bool old_returns = false;  // its process is replaced within a second
 };
 
-void play_gap(std::uint64_t seed, region::Shape3 shape, const Gap& gap) {
+void play_gap(std::uint64_t seed, region::RegionOptions options, const Gap& gap) {
   SCOPED_TRACE("seed " + std::to_string(seed));
-  Busy b{seed, shape};
+  Busy b{seed, options};
   Region& r = b.r;
   const auto old_token = r.token_of(b.old);
   r.store().trouble(b.old).refuses_until = r.now() + seconds(gap.before + gap.outage + 10);
@@ -110,12 +86,12 @@
   frozen.freeze = 6;
   Gap replaced;
   replaced.old_returns = true;
-  region::Shape3 without_relay;
+  region::RegionOptions without_relay;
   without_relay.relay = false;
-  region::Shape3 long_leases;
+  region::RegionOptions long_leases;
   long_leases.terms = {2, 19, 30, 3, 25};  // leaves D about 2 s
-  for (const auto& shape : {region::Shape3{}, without_relay, long_leases}) {
-    for (const auto& gap : {cut, brief, again, frozen, replaced}) play_gap(7, shape, gap);
+  for (const auto& options : {region::RegionOptions{}, without_relay, long_leases}) {
+    for (const auto& gap : {cut, brief, again, frozen, replaced}) play_gap(7, options, gap);
   }
 }
 
@@ -150,15 +126,15 @@
   for (const std::uint64_t seed : {21U, 22U, 23U}) {
     Busy b{seed, {}, 12};
     Region& r = b.r;
-    r.around().late_reports = 0.5;
+    r.environment().late_reports = 0.5;
     for (int i = 0; i < 5; ++i) {
       r.submit_array(6, 8);
       r.workers().at(static_cast<std::size_t>(i))->lose_everyone(seconds(13));  // a new session
       r.run(9);
       if (const auto l = r.leader()) r.kill_for(*l, 1);
     }
-    EXPECT_GT(r.around().late_copies, 20U);
-    r.around().late_reports = 0;
+    EXPECT_GT(r.environment().late_copies, 20U);
+    r.environment().late_reports = 0;
     r.run(20);
     b.ends_well(400);
   }
@@ -277,10 +253,10 @@
 // 4. A release that waited for its turn at the cloud while the lead went over and came back: the new term knows nothing
 // of it and has placed work there.
 TEST(meetings, a_release_of_an_earlier_term_is_dropped) {
-  region::Shape3 shape;
-  shape.cloud_rps = 0.25;
-  shape.machines = 12;
-  Busy b{45, shape, 8};
+  region::RegionOptions options;
+  options.cloud_rps = 0.25;
+  options.machines = 12;
+  Busy b{45, options, 8};
   Region& r = b.r;
   std::size_t met = 0;
   for (int i = 0; i < 6; ++i) {
@@ -382,9 +358,9 @@
 // 6. The leader ends while machines with long tasks are away, or do not hear the next one. Team and zones are full.
 TEST(meetings, the_leader_ends_while_machines_are_away_or_deaf) {
   for (const std::uint64_t seed : {61U, 62U, 63U, 64U}) {
-    region::Shape3 shape;
-    shape.team_gpus = 24;
-    Busy b{seed, shape, 60};
+    region::RegionOptions options;
+    options.team_gpus = 24;
+    Busy b{seed, options, 60};
     Region& r = b.r;
     for (int i = 0; i < 3; ++i) {
       JobSpec gang;
@@ -477,7 +453,7 @@
   ASSERT_NE(nullptr, holder);
   r.run(2.2);  // the command is unanswered
   // No report of it arrives until the leader cannot prove itself any more.
-  holder->lose_reports(seconds(4));
+  holder->go_mute(seconds(4));
   r.cancel(id, {b.old});
   ASSERT_TRUE(r.run_until(2, [&] { return r.rules().work(id).told_cancelled.has_value(); }));
   r.store().fail_for(seconds(11));
--- a/tests/region/region.cpp
+++ b/tests/region/region.cpp
@@ -16,8 +16,6 @@
 
 constexpr Duration look_every = seconds(0.05);
 constexpr Duration clock_step = seconds(0.005);
-constexpr double boot_s = 4;
-constexpr std::size_t most_machines = 40;
 constexpr std::array<const char*, 5> names{"ash", "beech", "cedar", "elm", "fir"};
 constexpr std::array<double, 5> drifts{0.0005, -0.0005, 0.0001, 0.0003, -0.0002};
 
@@ -45,18 +43,18 @@
 
 }  // namespace
 
-Region::Region(std::uint64_t seed, Shape3 shape)
+Region::Region(std::uint64_t seed, RegionOptions options)
     : random_(seed),
-      shape_(shape),
+      options_(options),
       loop_([this] { return now_; }),
       store_(loop_, seed),
-      rules_(shape.terms, {{"red", {0, 16, 0}, {0, shape.team_gpus, 0}}}),
-      around_{loop_, rules_, shape.terms, {}, {}, [this] { return roll(); }, 0, 0},
+      rules_(options.terms, {{"red", {0, 16, 0}, {0, options.team_gpus, 0}}}),
+      environment_{loop_, rules_, options.terms, {}, {}, [this] { return roll(); }},
       cloud_(loop_, anywhere(), {}, [this](rt::HttpMessage m) { return cloud(std::move(m)); }),
       client_(loop_, 10000, 1024 * 1024, 0),
-      controllers_(shape.controllers) {
-  for (std::size_t c = 0; c < controllers_.size(); ++c) around_.controllers.emplace_back(names.at(c));
-  around_.address = [this](std::size_t c) -> std::optional<std::string> {
+      controllers_(options.controllers) {
+  for (std::size_t c = 0; c < controllers_.size(); ++c) environment_.controllers.emplace_back(names.at(c));
+  environment_.address = [this](std::size_t c) -> std::optional<std::string> {
     const auto& n = controllers_.at(c);
     return n.process ? std::optional{at_port(n.process->node->users_port())} : std::nullopt;
   };
@@ -73,9 +71,10 @@
       rt::spawn(accept_links(from, c, *n.links.back()));
     }
   }
+  store_.limit_writes(options.write_rps);
   rt::spawn(cloud_.serve());
   rt::spawn(ticks());
-  for (std::size_t i = 0; i < shape.machines; ++i) add_worker(i % 2 == 0 ? "a" : "b", false, 0);
+  for (std::size_t i = 0; i < options.machines; ++i) add_worker(i % 2 == 0 ? "a" : "b", false, 0);
   for (std::size_t c = 0; c < controllers_.size(); ++c) start(c);
 }
 
@@ -120,14 +119,14 @@
   }
   s.cloud = at_port(cloud_.port());
   s.state = at_port(controllers_.at(c).store_front->port());
-  s.teams = {{"red", {0, 16, 0}, {0, shape_.team_gpus, 0}}};
+  s.teams = {{"red", {0, 16, 0}, {0, options_.team_gpus, 0}}};
   s.objectives = {{"wait", "x", 10, 0.9, 1}};
-  s.workers = shape_.terms;
+  s.workers = options_.terms;
   s.state_rps = 300;
-  s.state_write_rps = 120;
+  s.state_write_rps = std::min(120.0, options_.write_rps);
   s.state_value_bytes = 32 * 1024;
   s.state_txn_ops = 48;
-  s.cloud_rps = shape_.cloud_rps;
+  s.cloud_rps = options_.cloud_rps;
   s.cloud_lag = seconds(1);
   s.max_connections = 400;
   return s;
@@ -139,7 +138,7 @@
   auto clock = [this, began, rate = 1 + n.drift] { return began + seconds(to_seconds(now_ - began) * rate); };
   n.process = std::make_unique<Process>(clock);
   Policy policy;
-  policy.relay_reports = shape_.relay;
+  policy.relay_reports = options_.relay;
   auto log = std::make_shared<spdlog::logger>(n.name, std::make_shared<LogSink>(n.log, now_));
   n.process->node = std::make_unique<service::Node>(n.process->loop, settings_of(c), policy, log);
   n.process->node->start();
@@ -227,10 +226,69 @@
     for (auto& w : workers_) w->tick();
     Gangs::step(workers_);
     rules_.tick(now_);
+    watch_leader();
+    if (rules_.calm()) watch_waiting();
     co_await loop_.sleep(look_every);
   }
 }
 
+// Copies of reports that were kept come to all controllers just as a new leader begins.
+void Region::watch_leader() {
+  const auto row = store_.value(wire::leader_key);
+  if (!row || row->dump() == last_leader_) return;
+  last_leader_ = row->dump();
+  for (auto& body : std::exchange(environment_.kept, {})) {
+    for (std::size_t c = 0; c < controllers_.size(); ++c) rt::spawn(pass_kept(body, c));
+  }
+}
+
+rt::Task<void> Region::pass_kept(std::string body, std::size_t at) {
+  co_await loop_.sleep(seconds(environment_.kept_for_s));
+  const auto r = co_await ask(at, "POST", "/agent/beat", std::move(body), 4);
+  if (r.ok()) ++environment_.late_copies;
+}
+
+// Room now for a task that is missing, or for all of a gang.
+bool Region::could_begin(const Work& work) const {
+  const auto& spec = work.spec;
+  const auto on = rules_.on_machines(spec.id);
+  const bool awaited_done = std::ranges::all_of(spec.awaits, [&](const JobId& id) {
+    const auto& other = rules_.work(id);
+    return other.told_done.has_value();
+  });
+  const bool fetching = std::ranges::any_of(workers_, [&](const auto& w) { return w->has(spec.id); });
+  const bool whole = spec.shape == Shape::gang;
+  const bool begins = whole ? fetching : work.completed.size() + on.size() >= spec.tasks;
+  if (begins || !awaited_done || !rules_.within_limit(spec.id, whole ? spec.tasks : 1)) return false;
+  std::map<std::string, std::size_t> places;  // by zone
+  for (const auto& w : workers_) {
+    const bool allowed =
+        w->sound() && !w->has(spec.id) && (spec.spot || !w->spot()) && (!spec.zone || *spec.zone == w->zone());
+    if (allowed && spec.need.gpus > 0)
+      places[w->zone()] += static_cast<std::size_t>(w->free_gpus() / spec.need.gpus + 1e-6);
+  }
+  std::size_t most = 0;
+  for (const auto& [zone, n] : places) most = spec.one_zone ? std::max(most, n) : most + n;
+  // Of an array in one zone or spread over several other tasks decide the place: not judged here.
+  if (!whole && (spec.one_zone || spec.spread) && fetching) return false;
+  return most >= (whole ? spec.tasks : 1);
+}
+
+void Region::watch_waiting() {
+  for (const auto& [id, work] : rules_.works()) {
+    const bool open = work.accepted && !work.cancel_asked && work.completed.size() < work.spec.tasks;
+    rules_.waits_beside_room(id, open && could_begin(work), now_);
+  }
+}
+
+void Region::cut_zone(const std::string& zone, std::size_t c, double s) {
+  store_.trouble(c).refuses_until = now_ + seconds(s);
+  cut_links(c, s);
+  for (auto& w : workers_) {
+    if (w->zone() == zone) w->keep_to(c, seconds(s));
+  }
+}
+
 // ---- users ----
 
 JobId Region::submit(JobSpec spec, double run_s) {
@@ -286,7 +344,7 @@
   const std::string body = wire::encode_job(work.spec).dump();
   const Time give_up = now_ + seconds(60);
   while (!work.accepted && now_ < give_up) {
-    const Time sent = now_;
+    const Ordinal sent = rules_.sends();
     auto& u = users_.at(id);
     const auto to = next_for(u, u.at);
     std::string copy = body;
@@ -309,17 +367,80 @@
 }
 
 rt::Task<void> Region::poll(JobId id, std::size_t at) {
-  const Time sent = now_;
+  const Ordinal sent = rules_.sends();
   const auto r = co_await ask(at, "GET", "/api/jobs/" + id.value(), "", 2);
   if (r.outcome != rt::Outcome::answered) co_return;
   if (r.status == 200) rules_.told(id, json::parse(r.body).at("phase"), sent, now_);
   if (r.status == 404) rules_.refused_forever(id, r.status, sent, now_);
 }
 
+rt::Task<void> Region::repeat(JobId id, std::size_t at) {
+  std::string body = wire::encode_job(rules_.work(id).spec).dump();
+  const Ordinal sent = rules_.sends();
+  const auto r = co_await ask(at, "POST", "/api/jobs", std::move(body), 5);
+  if (r.outcome != rt::Outcome::answered) co_return;
+  if (r.status == 200 || r.status == 201) rules_.told(id, json::parse(r.body).at("phase"), sent, now_);
+  if (r.status == 400 || r.status == 422) rules_.refused_forever(id, r.status, sent, now_);
+}
+
+rt::Task<void> Region::cancel_once(JobId id, std::size_t at) {
+  const Ordinal sent = rules_.sends();
+  const auto r = co_await ask(at, "POST", "/api/jobs/" + id.value() + "/cancel", "", 5);
+  if (r.outcome != rt::Outcome::answered) co_return;
+  if (r.status == 200) rules_.told(id, json::parse(r.body).at("phase"), sent, now_);
+  if (r.status == 404) rules_.refused_forever(id, r.status, sent, now_);
+}
+
+rt::Task<void> Region::look(JobId id) {
+  constexpr int times = 6;
+  for (int i = 0; i < times; ++i) {
+    const auto& work = rules_.work(id);
+    for (std::size_t c = 0; c < controllers_.size(); ++c) {
+      if (!controllers_.at(c).process) continue;
+      ++looks_;
+      rt::spawn(poll(id, c));
+      if (i % 2 == 0) rt::spawn(repeat(id, c));
+      if (i % 3 == 0 && (work.told_done || work.told_cancelled)) rt::spawn(cancel_once(id, c));
+    }
+    co_await loop_.sleep(seconds(0.003 + 0.06 * roll() * i));
+  }
+}
+
+void Region::look_closely(double cancels) {
+  rules_.on_news = [this, cancels](const JobId& id) {
+    rt::spawn(look(id));
+    const auto& work = rules_.work(id);
+    const bool fresh = !work.told_done && !work.told_cancelled;
+    if (fresh && cancels > 0 && roll() < cancels) cancel(id, {pick(), pick()});
+  };
+}
+
+void Region::cancel_at_end(double share) {
+  rules_.on_complete = [this, share](const JobId& id) {
+    if (roll() >= share) return;
+    cancel(id, {pick(), pick()});
+    for (std::size_t c = 0; c < controllers_.size(); ++c) {
+      ask_once(id, c);
+      submit_again(id, c);
+    }
+  };
+}
+
+rt::HttpResult Region::request(std::size_t at, std::string method, std::string target, std::string body) {
+  std::optional<rt::HttpResult> result;
+  const auto send = [](Region& r, std::optional<rt::HttpResult>& out, std::size_t c, std::string m, std::string t,
+                       std::string b) -> rt::Task<void> {
+    out = co_await r.ask(c, std::move(m), std::move(t), std::move(b), 5);
+  };
+  rt::spawn(send(*this, result, at, std::move(method), std::move(target), std::move(body)));
+  run_until(6, [&] { return result.has_value(); });
+  return result.value_or(rt::HttpResult{});
+}
+
 rt::Task<void> Region::cancelling(JobId id) {
   auto& work = rules_.works().at(id);
   while (!work.told_done && !work.told_cancelled) {
-    const Time sent = now_;
+    const Ordinal sent = rules_.sends();
     auto& u = users_.at(id);
     const auto to = next_for(u, u.cancels_at);
     const auto r = co_await ask(to, "POST", "/api/jobs/" + id.value() + "/cancel", "", 5);
@@ -364,7 +485,7 @@
 
 Worker& Region::add_worker(const std::string& zone, bool spot, double boots_in) {
   MachineId id{"i-" + std::to_string(100000 + next_machine_++)};
-  workers_.push_back(std::make_unique<Worker>(around_, std::move(id), zone, spot, now_ + seconds(boots_in)));
+  workers_.push_back(std::make_unique<Worker>(environment_, std::move(id), zone, spot, now_ + seconds(boots_in)));
   workers_.back()->run();
   return *workers_.back();
 }
@@ -374,8 +495,8 @@
   if (const auto known = hired_.find(name); known != hired_.end()) return reply(200, known->second);
   json hosts = json::array();
   const auto count = wanted.at("count").get<std::size_t>();
-  for (std::size_t i = 0; i < count && workers_.size() < most_machines; ++i) {
-    hosts.push_back(add_worker(wanted.at("yard"), wanted.at("loaners"), boot_s).id().value());
+  for (std::size_t i = 0; i < count && workers_.size() < options_.most_machines; ++i) {
+    hosts.push_back(add_worker(wanted.at("yard"), wanted.at("loaners"), options_.boot_s).id().value());
   }
   if (hosts.empty()) return reply(503, {{"error", "no capacity"}});
   hired_[name] = {{"hosts", hosts}};
@@ -384,8 +505,10 @@
 
 rt::Task<rt::HttpResponse> Region::cloud(rt::HttpMessage request) {
   if (request.target == "/flavors") {
-    json big{{"sku", "big"},    {"cpus", 48.0},   {"accelerators", 4.0}, {"memGb", 288.0},   {"cacheGb", 80.0},
-             {"pullGbPerS", 1}, {"hourly", 10.0}, {"spotPrice", 3.0},    {"readyS", boot_s}, {"yards", {"a", "b"}}};
+    json big{{"sku", "big"},       {"cpus", 48.0},     {"accelerators", 4.0},
+             {"memGb", 288.0},     {"cacheGb", 80.0},  {"pullGbPerS", 1},
+             {"hourly", 10.0},     {"spotPrice", 3.0}, {"readyS", options_.boot_s},
+             {"yards", {"a", "b"}}};
     co_return reply(200, {{"breeds", json::array({big})}});
   }
   if (request.target == "/machines/release") {
--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -16,17 +16,20 @@
 
 namespace martenwall::region {
 
-struct Shape3 {
+struct RegionOptions {
   std::size_t controllers = 3, machines = 8;
   bool relay = true;
   WorkerTerms terms{2, 10, 30, 3, 24};
   double team_gpus = 1000;
   double cloud_rps = 10;
+  double boot_s = 4;
+  std::size_t most_machines = 40;
+  double write_rps = 1e9;  // changes of the store a second
 };
 
 class Region {
  public:
-  Region(std::uint64_t seed, Shape3 shape);
+  Region(std::uint64_t seed, RegionOptions options);
   ~Region() = default;
   Region(const Region&) = delete;
   Region& operator=(const Region&) = delete;
@@ -43,6 +46,8 @@
   void start(std::size_t c);               // a new process
   void freeze(std::size_t c, double s) { controllers_.at(c).frozen_until = now_ + seconds(s); }
   void cut_links(std::size_t c, double s) { controllers_.at(c).links_cut_until = now_ + seconds(s); }
+  // The zone with its workers and this controller is cut off from everything; inside they reach each other.
+  void cut_zone(const std::string& zone, std::size_t c, double s);
   [[nodiscard]] std::optional<std::size_t> leader() const;  // that holds the key in the store
   [[nodiscard]] std::uint64_t token_of(std::size_t c) const;
   [[nodiscard]] const std::vector<std::string>& log(std::size_t c) const { return controllers_.at(c).log; }
@@ -54,6 +59,15 @@
   void cancel(const JobId& id, std::vector<std::size_t> at);  // asks these controllers in turn until it is answered
   void poll_at(const JobId& id, std::vector<std::size_t> at) { users_.at(id).at = std::move(at); }
   void ask_once(const JobId& id, std::size_t at) { rt::spawn(poll(id, at)); }
+  void submit_again(const JobId& id, std::size_t at) { rt::spawn(repeat(id, at)); }
+  // All users ask all controllers, again and again within milliseconds, and repeat submissions and cancellations, right
+  // after they heard that a job is accepted, done or cancelled. `cancels`: share of the jobs called off at once.
+  void look_closely(double cancels = 0);
+  // That share of the jobs that end is called off, asked for and submitted again in the moment of the end.
+  void cancel_at_end(double share);
+  // One request outside of any job's life, and its answer.
+  rt::HttpResult request(std::size_t at, std::string method, std::string target, std::string body);
+  [[nodiscard]] std::size_t looks() const { return looks_; }  // answered questions of those that look closely
   // Where this leader believes tasks of the job to be.
   [[nodiscard]] std::set<MachineId> machines_of(std::size_t c, const JobId& id) const;
   [[nodiscard]] bool all_over() const;
@@ -63,14 +77,16 @@
   [[nodiscard]] Store& store() { return store_; }
   [[nodiscard]] Rules& rules() { return rules_; }
   [[nodiscard]] std::vector<std::unique_ptr<Worker>>& workers() { return workers_; }
-  [[nodiscard]] Around& around() { return around_; }
+  [[nodiscard]] Environment& environment() { return environment_; }
   [[nodiscard]] Time now() const { return now_; }
   double roll() { return std::uniform_real_distribution<>{0, 1}(random_); }
   [[nodiscard]] std::size_t controllers() const { return controllers_.size(); }
   [[nodiscard]] std::size_t pick() {
-    return static_cast<std::size_t>(roll() * static_cast<double>(shape_.controllers));
+    return static_cast<std::size_t>(roll() * static_cast<double>(options_.controllers));
+  }
+  [[nodiscard]] std::size_t others_of(std::size_t c, std::size_t step) const {
+    return (c + step) % options_.controllers;
   }
-  [[nodiscard]] std::size_t others_of(std::size_t c, std::size_t step) const { return (c + step) % shape_.controllers; }
   [[nodiscard]] std::size_t released_busy() const { return released_busy_; }  // machines, with work on them
 
  private:
@@ -103,6 +119,13 @@
   rt::Task<void> ticks();
   rt::Task<void> user(JobId id);
   rt::Task<void> poll(JobId id, std::size_t at);
+  rt::Task<void> repeat(JobId id, std::size_t at);
+  rt::Task<void> look(JobId id);
+  rt::Task<void> cancel_once(JobId id, std::size_t at);
+  rt::Task<void> pass_kept(std::string body, std::size_t at);
+  void watch_leader();
+  void watch_waiting();
+  [[nodiscard]] bool could_begin(const Work& work) const;
   rt::Task<void> cancelling(JobId id);
   rt::Task<rt::HttpResult> ask(std::size_t controller, std::string method, std::string target, std::string body,
                                double limit_s);
@@ -113,18 +136,19 @@
 
   Time now_{seconds(5000)};
   std::mt19937_64 random_;
-  Shape3 shape_;
+  RegionOptions options_;
   rt::Loop loop_;  // of everything but the controllers
   Store store_;
   Rules rules_;
-  Around around_;
+  Environment environment_;
   rt::HttpServer cloud_;
   rt::HttpClient client_;
   std::vector<Controller> controllers_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::map<JobId, User> users_;
   std::map<std::string, nlohmann::json> hired_;
-  std::size_t released_busy_ = 0;
+  std::size_t released_busy_ = 0, looks_ = 0;
+  std::string last_leader_;  // the value of its key
   std::size_t next_machine_ = 100, next_job_ = 0;
 };
 
--- a/tests/region/rules.cpp
+++ b/tests/region/rules.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr Duration longest_unanswered = seconds(75);
+constexpr Duration longest_beside_room = seconds(90);
 constexpr std::size_t most_breaches = 8;
 }  // namespace
 
@@ -29,28 +30,89 @@
   }
 }
 
+// Given the job's other tasks at this moment.
+void Rules::check_place(const TaskId& task, const std::string& zone, bool spot, Time now) {
+  const auto& spec = works_.at(task.job).spec;
+  const auto wrong = [&](const char* what) {
+    breach(std::string{"wrong_place: "} + what + " " + to_string(task), now);
+  };
+  if (spot && !spec.spot) wrong("spot");
+  if (spec.zone && *spec.zone != zone) wrong("zone");
+  if (spec.types && std::ranges::find(*spec.types, "big") == spec.types->end()) wrong("type");
+  std::uint32_t in_zone = 1;
+  for (const auto& [o, at] : on_) {
+    if (o.task.job != task.job) continue;
+    if (spec.one_zone && at != zone) wrong("two zones");
+    if (at == zone && o.task != task) ++in_zone;
+  }
+  if (spec.spread && in_zone > (spec.tasks + 1) / 2) wrong("more than half in one zone");
+}
+
+Resources Rules::used_by(const std::string& team) const {
+  Resources used;
+  for (const auto& [o, at] : on_) {
+    const auto& spec = works_.at(o.task.job).spec;
+    if (spec.team == team) used.add(spec.need);
+  }
+  return used;
+}
+
+// A limit of 0 is none.
+void Rules::check_limits(Time now) {
+  for (const auto& team : teams_) {
+    const auto used = used_by(team.name);
+    const bool gpus = team.limit.gpus > 0 && used.gpus > team.limit.gpus + 1e-6;
+    const bool cpus = team.limit.cpus > 0 && used.cpus > team.limit.cpus + 1e-6;
+    if (gpus || cpus) breach("quota " + team.name, now);
+  }
+}
+
 void Rules::starts(const TaskId& task, const MachineId& on, const std::string& zone, bool spot, Time now) {
   ++started_;
   const auto& w = works_.at(task.job);
-  if (spot && !w.spec.spot) breach("wrong_place: spot " + to_string(task), now);
-  if (w.spec.zone && *w.spec.zone != zone) breach("wrong_place: zone " + to_string(task), now);
+  if (w.told_cancelled) ++started_after_cancel_;
   for (const auto& id : w.spec.awaits) {
     if (works_.at(id).completed.size() != works_.at(id).spec.tasks) breach("too early " + to_string(task), now);
   }
   for (const auto& [o, at] : on_) {
-    if (o.task.job != task.job) continue;
     if (o.task == task) breach("ran_twice " + to_string(task) + " on " + o.machine.value() + " and " + on.value(), now);
-    if (w.spec.one_zone && at != zone) breach("wrong_place: two zones " + to_string(task), now);
   }
+  check_place(task, zone, spot, now);
   on_.emplace(On{task, on}, zone);
-  for (const auto& team : teams_) {
-    double gpus = 0;
-    for (const auto& [o, at] : on_) {
-      const auto& spec = works_.at(o.task.job).spec;
-      if (spec.team == team.name) gpus += spec.need.gpus;
-    }
-    if (gpus > team.limit.gpus + 1e-6) breach("quota " + team.name, now);
+  check_limits(now);
+}
+
+void Rules::completes(const TaskId& task) {
+  auto& w = works_.at(task.job);
+  const bool fresh = w.completed.insert(task.index).second;
+  if (fresh && w.completed.size() == w.spec.tasks && on_complete) on_complete(task.job);
+}
+
+std::set<std::uint32_t> Rules::on_machines(const JobId& id) const {
+  std::set<std::uint32_t> out;
+  for (const auto& [o, at] : on_) {
+    if (o.task.job == id) out.insert(o.task.index);
   }
+  return out;
+}
+
+bool Rules::within_limit(const JobId& id, std::uint32_t more_tasks) const {
+  const auto& spec = works_.at(id).spec;
+  const auto team = std::ranges::find(teams_, spec.team, &Team::name);
+  if (team == teams_.end()) return false;
+  auto used = used_by(spec.team);
+  used.add(spec.need, more_tasks);
+  return (team->limit.gpus <= 0 || used.gpus <= team->limit.gpus + 1e-6) &&
+         (team->limit.cpus <= 0 || used.cpus <= team->limit.cpus + 1e-6);
+}
+
+void Rules::waits_beside_room(const JobId& id, bool so, Time now) {
+  auto& w = works_.at(id);
+  if (!so) return w.beside_room.reset();
+  if (!w.beside_room) w.beside_room = now;
+  if (now - *w.beside_room <= longest_beside_room) return;
+  breach("neglected " + id.value() + ": waits beside room", now);
+  w.beside_room = now;
 }
 
 void Rules::leaves(const TaskId& task, const MachineId& on) { on_.erase(On{task, on}); }
@@ -61,28 +123,39 @@
   return w.cancel_asked || std::ranges::any_of(w.spec.awaits, [&](const JobId& a) { return asked_to_cancel(a); });
 }
 
-void Rules::told(const JobId& id, const std::string& phase, Time sent, Time now) {
+void Rules::told(const JobId& id, const std::string& phase, Ordinal sent, Time now) {
   auto& w = works_.at(id);
   w.answered = now;
-  if (!w.accepted) w.accepted = now;
-  const bool was_done = w.told_done && sent >= *w.told_done;
-  const bool was_cancelled = w.told_cancelled && sent >= *w.told_cancelled;
+  bool news = !w.accepted;
+  const Ordinal heard = ++order_;
+  if (!w.accepted) {
+    w.accepted = now;
+    w.heard_accepted = heard;
+  }
+  const bool was_done = w.told_done && sent > w.heard_end;
+  const bool was_cancelled = w.told_cancelled && sent > w.heard_end;
   if (was_done && phase != "done") breach("went_back " + id.value() + ": done, then " + phase, now);
   if (was_cancelled && phase != "withdrawn") breach("went_back " + id.value() + ": withdrawn, then " + phase, now);
   if (phase == "done") {
     if (w.completed.size() != w.spec.tasks) breach("not_done " + id.value(), now);
+    news = news || !w.told_done;
     if (!w.told_done) w.told_done = now;
   }
   if (phase == "withdrawn") {
     if (!asked_to_cancel(id)) breach("went_back " + id.value() + ": cancelled by no one", now);
+    news = news || !w.told_cancelled;
     if (!w.told_cancelled) w.told_cancelled = now;
   }
+  if (w.heard_end == 0 && (w.told_done || w.told_cancelled)) w.heard_end = heard;
+  // An end is for good, whichever question was sent first.
+  if (w.told_done && w.told_cancelled) breach("went_back " + id.value() + ": both done and withdrawn", now);
+  if (news && on_news) on_news(id);
 }
 
-void Rules::refused_forever(const JobId& id, int status, Time sent, Time now) {
+void Rules::refused_forever(const JobId& id, int status, Ordinal sent, Time now) {
   auto& w = works_.at(id);
   w.answered = now;
-  if (w.accepted && sent >= *w.accepted) breach("forgotten " + id.value() + ": " + std::to_string(status), now);
+  if (w.accepted && sent > w.heard_accepted) breach("forgotten " + id.value() + ": " + std::to_string(status), now);
 }
 
 void Rules::tick(Time now) {
--- a/tests/region/rules.hpp
+++ b/tests/region/rules.hpp
@@ -1,5 +1,7 @@
 // What is true in the region, and PROTOCOL's rules on it. Written from PROTOCOL alone: of the core it uses types.
 #pragma once
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +13,9 @@
 
 namespace martenwall::region {
 
+// Which of a user's sending and hearing came first. Much happens in one moment of virtual time: times do not tell.
+using Ordinal = std::uint64_t;
+
 // A job as its user knows it.
 struct Work {
   JobSpec spec;
@@ -19,7 +24,9 @@
   std::set<std::uint32_t> completed;  // tasks
   Time submitted{};
   std::optional<Time> accepted, cancel_asked, told_done, told_cancelled;
-  Time answered{};  // the last answer to any question about it
+  Ordinal heard_accepted = 0, heard_end = 0;
+  Time answered{};                  // the last answer to any question about it
+  std::optional<Time> beside_room;  // waits since then, and could have begun
 };
 
 class Rules {
@@ -33,19 +40,35 @@
 
   void starts(const TaskId& task, const MachineId& on, const std::string& zone, bool spot, Time now);
   void leaves(const TaskId& task, const MachineId& on);
-  void completes(const TaskId& task) { works_.at(task.job).completed.insert(task.index); }
-  // A user's answer to a request that was sent at `sent`; `phase` as PROTOCOL names it.
-  void told(const JobId& id, const std::string& phase, Time sent, Time now);
-  void refused_forever(const JobId& id, int status, Time sent, Time now);
-  void tick(Time now);  // what is on a machine too long
+  void completes(const TaskId& task);
+  [[nodiscard]] Ordinal sends() { return ++order_; }
+  // A user's answer to a request that was sent then; `phase` as PROTOCOL names it.
+  void told(const JobId& id, const std::string& phase, Ordinal sent, Time now);
+  void refused_forever(const JobId& id, int status, Ordinal sent, Time now);
+  // With troubles over: whether it waits although a machine that fits has room and its team is under its limit.
+  void waits_beside_room(const JobId& id, bool so, Time now);
+  [[nodiscard]] bool calm() const { return calm_since_.has_value(); }
+  [[nodiscard]] bool within_limit(const JobId& id, std::uint32_t more_tasks) const;
+  [[nodiscard]] std::set<std::uint32_t> on_machines(const JobId& id) const;  // tasks
+  void tick(Time now);                                                       // what is on a machine too long
   void all_troubles_over(Time now) { calm_since_ = now; }
 
   [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
   [[nodiscard]] std::size_t started() const { return started_; }
+  // Starts after their user was told of the cancellation, within cancel_s: a start was on its way. Later ones break a
+  // rule.
+  [[nodiscard]] std::size_t started_after_cancel() const { return started_after_cancel_; }
+  // Called when a job's user first hears that it is accepted, done or cancelled.
+  std::function<void(const JobId&)> on_news;
+  // Called when the last task of a job completes.
+  std::function<void(const JobId&)> on_complete;
 
  private:
   [[nodiscard]] bool asked_to_cancel(const JobId& id) const;
   void breach(const std::string& what, Time now);
+  void check_place(const TaskId& task, const std::string& zone, bool spot, Time now);
+  void check_limits(Time now);
+  [[nodiscard]] Resources used_by(const std::string& team) const;
   struct On {
     TaskId task;
     MachineId machine;
@@ -57,7 +80,8 @@
   std::map<On, std::string> on_;  // the machine's zone
   std::optional<Time> calm_since_;
   std::vector<std::string> breaches_;
-  std::size_t started_ = 0;
+  Ordinal order_ = 0;
+  std::size_t started_ = 0, started_after_cancel_ = 0;
 };
 
 }  // namespace martenwall::region
--- a/tests/region/store.cpp
+++ b/tests/region/store.cpp
@@ -167,16 +167,34 @@
   carry_out(txn, true);
 }
 
+bool Store::takes_writes(std::size_t n) {
+  const Time now = loop_.now();
+  spare_writes_ = std::min(write_rps_, spare_writes_ + write_rps_ * to_seconds(now - writes_counted_));
+  writes_counted_ = now;
+  const bool enough = spare_writes_ >= static_cast<double>(n);
+  if (enough) spare_writes_ -= static_cast<double>(n);
+  return enough;
+}
+
 rt::Task<rt::HttpResponse> Store::multi(std::size_t from, json txn) {
+  if (!takes_writes(txn.at("then").size())) {
+    ++refused_;
+    co_return reply(429, {{"error", "too many changes"}});
+  }
   const auto& trouble = troubles_[from];
   const bool writes = !txn.at("then").empty();
   const bool drawn = writes && loop_.now() < trouble.late_until &&
                      std::uniform_real_distribution<>{0, 1}(random_) < trouble.late_share;
   const bool named = writes && which_late_ && which_late_(from, txn);
   if (!drawn && !named) co_return carry_out(txn, false);
-  const Duration after = named ? late_after_ : seconds(std::uniform_real_distribution<>{2, 12}(random_));
+  const Duration drawn_after = seconds(std::uniform_real_distribution<>{2, 12}(random_));
+  const Duration after = named ? late_after_ : trouble.at_once ? Duration{0} : drawn_after;
   if (named) which_late_ = nullptr;
-  rt::spawn(carry_out_late(std::move(txn), after));
+  if (after > Duration{0}) {
+    rt::spawn(carry_out_late(std::move(txn), after));
+  } else {
+    carry_out(txn, true);
+  }
   co_await loop_.sleep(unanswered);
   co_return trouble_reply();
 }
--- a/tests/region/store.hpp
+++ b/tests/region/store.hpp
@@ -21,7 +21,8 @@
   Time refuses_until{};  // 503, while the others are served
   Time late_until{};     // share of transactions that get no answer and are carried out late
   double late_share = 0;
-  Duration slower{0};  // each answer takes so much longer
+  bool at_once = false;  // they are carried out at once, and only the answer is lost
+  Duration slower{0};    // each answer takes so much longer
   Time slower_until{};
 };
 
@@ -45,6 +46,9 @@
   [[nodiscard]] std::size_t late_refused() const { return late_refused_; }  // the same, conditions did not hold
   // The next transaction that this names gets no answer and is carried out after so long.
   void make_late(std::function<bool(std::size_t from, const json& txn)> which, Duration after);
+  void limit_writes(double per_second) { write_rps_ = spare_writes_ = per_second; }
+  [[nodiscard]] std::size_t changes() const { return changes_.size(); }  // of keys
+  [[nodiscard]] std::size_t refused() const { return refused_; }         // transactions, for too many changes
   // Called with each transaction that is carried out, `late` or at once.
   std::function<void(const json& txn, bool late)> on_commit;
 
@@ -70,6 +74,7 @@
   rt::HttpResponse lease_call(const rt::HttpMessage& request);
   [[nodiscard]] rt::HttpResponse page(const std::string& query) const;
   [[nodiscard]] bool refuses(std::size_t from);
+  [[nodiscard]] bool takes_writes(std::size_t n);
   void put(const std::string& key, json value, std::uint64_t lease);
   void remove(const std::string& key);
   void end_lease(std::uint64_t id);
@@ -83,7 +88,9 @@
   std::uint64_t revision_ = 0, next_lease_ = 1;
   Time down_until_{};
   bool was_down_ = false;
-  std::size_t late_ = 0, late_refused_ = 0;
+  std::size_t late_ = 0, late_refused_ = 0, refused_ = 0;
+  double write_rps_ = 1e9, spare_writes_ = 1e9;  // a burst of one second's worth
+  Time writes_counted_{};
   std::function<bool(std::size_t, const json&)> which_late_;
   Duration late_after_{0};
 };
--- a/tests/region/worker.cpp
+++ b/tests/region/worker.cpp
@@ -17,25 +17,25 @@
 
 }  // namespace
 
-Worker::Worker(Around& around, MachineId id, std::string zone, bool spot, Time boots)
-    : around_(around),
+Worker::Worker(Environment& environment, MachineId id, std::string zone, bool spot, Time boots)
+    : environment_(environment),
       id_(std::move(id)),
       zone_(std::move(zone)),
       spot_(spot),
       boots_(boots),
       last_ok_(boots),
       next_report_(boots),
-      client_(around.loop, 8, 1024 * 1024, 4),
-      server_(around.loop, *rt::Endpoint::parse("127.0.0.1:0"), {},
+      client_(environment.loop, 8, 1024 * 1024, 4),
+      server_(environment.loop, *rt::Endpoint::parse("127.0.0.1:0"), {},
               [this](rt::HttpMessage m) { return serve(std::move(m)); }) {
-  target_ = static_cast<std::size_t>(around_.roll() * static_cast<double>(around_.controllers.size()));
+  target_ = static_cast<std::size_t>(environment_.roll() * static_cast<double>(environment_.controllers.size()));
 }
 
-bool Worker::up() const { return !gone_ && around_.loop.now() >= boots_; }
+bool Worker::up() const { return !gone_ && environment_.loop.now() >= boots_; }
 
 std::string Worker::address() const {
-  const bool cut = around_.loop.now() < std::max(cut_until_, silent_until_) || (kept() && target_ != kept_);
-  return cut ? "" : around_.address(target_).value_or("");
+  const bool cut = environment_.loop.now() < std::max(cut_until_, silent_until_) || (kept() && target_ != kept_);
+  return cut ? "" : environment_.address(target_).value_or("");
 }
 
 void Worker::run() {
@@ -43,13 +43,31 @@
   rt::spawn(report_loop());
 }
 
+double Worker::free_gpus() const {
+  double free = gpus_each;
+  for (const auto& [key, t] : tasks_) {
+    if (t.phase != "ended") free -= environment_.rules.work(key.first.job).spec.need.gpus;
+  }
+  return free;
+}
+
+bool Worker::has(const JobId& job) const {
+  return std::ranges::any_of(tasks_,
+                             [&](const auto& t) { return t.first.first.job == job && t.second.phase != "ended"; });
+}
+
+bool Worker::sound() const {
+  const Time now = environment_.loop.now();
+  return up() && now >= std::max({deaf_until_, hangs_until_, cut_until_, kept_until_, silent_until_});
+}
+
 bool Worker::busy() const {
   return std::ranges::any_of(tasks_, [](const auto& t) { return t.second.phase != "ended"; });
 }
 
 void Worker::take_away() {
   gone_ = true;
-  for (auto& [key, t] : tasks_) around_.rules.leaves(key.first, id_);
+  for (auto& [key, t] : tasks_) environment_.rules.leaves(key.first, id_);
   tasks_.clear();
 }
 
@@ -68,63 +86,65 @@
 }
 
 rt::Task<void> Worker::send_late(std::string body) {
-  const double most = 1.5 * around_.terms.lease_s;
-  co_await around_.loop.sleep(seconds(2 + around_.roll() * (most - 2)));
-  const auto to = static_cast<std::size_t>(around_.roll() * static_cast<double>(around_.controllers.size()));
-  const auto address = around_.address(to);
+  const double most = 1.5 * environment_.terms.lease_s;
+  co_await environment_.loop.sleep(seconds(2 + environment_.roll() * (most - 2)));
+  const auto to = static_cast<std::size_t>(environment_.roll() * static_cast<double>(environment_.controllers.size()));
+  const auto address = environment_.address(to);
   if (!address) co_return;
   const auto r = co_await client_.request(*address, "POST", "/agent/beat", std::move(body), answer_limit);
-  if (r.ok()) ++around_.late_copies;
+  if (r.ok()) ++environment_.late_copies;
 }
 
 rt::Task<void> Worker::report_loop() {
   while (!gone_) {
-    const Time now = around_.loop.now();
+    const Time now = environment_.loop.now();
     const bool due = now >= next_report_ || (changed_ && now >= last_report_ + least_gap);
     if (!up() || hangs() || !due) {
-      co_await around_.loop.sleep(look_every);
+      co_await environment_.loop.sleep(look_every);
       continue;
     }
     changed_ = false;
     last_report_ = now;
-    next_report_ = now + seconds(around_.terms.report_s * (0.75 + 0.5 * around_.roll()));
+    next_report_ = now + seconds(environment_.terms.report_s * (0.75 + 0.5 * environment_.roll()));
     const auto session = session_;
     std::string body = report();
-    if (around_.roll() < around_.late_reports) {
+    if (environment_.roll() < environment_.late_reports) {
       std::string copy = body;
       rt::spawn(send_late(std::move(copy)));
     }
+    if (environment_.kept_reports > 0 && environment_.roll() < environment_.kept_reports)
+      environment_.kept.push_back(body);
     std::string to = address();
     rt::HttpResult result;
     if (!to.empty()) {
       result = co_await client_.request(std::move(to), "POST", "/agent/beat", std::move(body), answer_limit);
     } else if (now < std::max(cut_until_, silent_until_)) {
-      co_await around_.loop.sleep(answer_limit);
+      co_await environment_.loop.sleep(answer_limit);
     }
-    while (hangs()) co_await around_.loop.sleep(look_every);
-    if (around_.loop.now() < deaf_until_) {
+    while (hangs()) co_await environment_.loop.sleep(look_every);
+    if (environment_.loop.now() < deaf_until_) {
       result = {};  // the answer is lost
-      co_await around_.loop.sleep(std::max(Duration{0}, now + answer_limit - around_.loop.now()));
+      co_await environment_.loop.sleep(std::max(Duration{0}, now + answer_limit - environment_.loop.now()));
     }
     take_answer(result, now, session);
   }
 }
 
 void Worker::take_answer(const rt::HttpResult& result, Time sent, std::uint64_t session) {
-  const Time now = around_.loop.now();
+  const Time now = environment_.loop.now();
   const bool in_time = result.outcome == rt::Outcome::answered && now - sent <= answer_limit;
   const json body = in_time ? json::parse(result.body, nullptr, false) : json{};
   if (in_time && result.status == 421 && body.is_object() && body.contains("steward")) {
-    const auto named = std::ranges::find(around_.controllers, body.at("steward").get<std::string>());
-    const auto at = static_cast<std::size_t>(named - around_.controllers.begin());
-    if (named != around_.controllers.end() && at != target_) {
+    const auto named = std::ranges::find(environment_.controllers, body.at("steward").get<std::string>());
+    const auto at = static_cast<std::size_t>(named - environment_.controllers.begin());
+    if (named != environment_.controllers.end() && at != target_) {
       target_ = at;
       next_report_ = now;
       return;
     }
   }
   if (!in_time || result.status != 200) {
-    target_ = (target_ + 1) % around_.controllers.size();
+    target_ = (target_ + 1) % environment_.controllers.size();
     next_report_ = now + seconds(1);
     return;
   }
@@ -139,10 +159,10 @@
 }
 
 rt::Task<rt::HttpResponse> Worker::serve(rt::HttpMessage request) {
-  const Time came = around_.loop.now();
+  const Time came = environment_.loop.now();
   const bool lost = !up() || came < deaf_until_ || came < cut_until_ || kept();
   if (lost) {
-    co_await around_.loop.sleep(answer_limit);
+    co_await environment_.loop.sleep(answer_limit);
     co_return rt::HttpResponse{503, "{}", {}, true};
   }
   const json body = json::parse(request.body, nullptr, false);
@@ -150,9 +170,9 @@
                                                               [](const json& o) { return o.at("verb") == "run"; });
   if (hold_start_ && starts) {
     const Duration held = *std::exchange(hold_start_, std::nullopt);
-    co_await around_.loop.sleep(held);
+    co_await environment_.loop.sleep(held);
   }
-  while (hangs()) co_await around_.loop.sleep(look_every);
+  while (hangs()) co_await environment_.loop.sleep(look_every);
   if (!up()) co_return rt::HttpResponse{503, "{}", {}, true};
   if (request.target == "/inspect") co_return rt::HttpResponse{200, report(), {}, false};
   if (!body.is_object() || !body.contains("baton") || !body.contains("tenure")) {
@@ -165,7 +185,7 @@
     change();
   }
   if (!stale) {
-    if (around_.loop.now() - came > seconds(2)) ++executed_late_;
+    if (environment_.loop.now() - came > seconds(2)) ++executed_late_;
     execute(body.at("orders"));
   }
   co_return rt::HttpResponse{stale ? 409 : 200, report(), {}, false};
@@ -186,15 +206,15 @@
 void Worker::begin_task(const Key& key) {
   change();
   OnMachine t;
-  t.since = around_.loop.now();
-  t.until = t.since + seconds(0.5 + 1.5 * around_.roll());  // its image
-  const auto* work = around_.rules.find(key.first.job);
+  t.since = environment_.loop.now();
+  t.until = t.since + seconds(environment_.fetch_s + environment_.fetch_more_s * environment_.roll());  // its image
+  const auto* work = environment_.rules.find(key.first.job);
   double gpus = work == nullptr ? 0 : work->spec.need.gpus;
   bool busy = false;
   for (const auto& [k, other] : tasks_) {
     if (other.phase == "ended") continue;
     busy = busy || k.first == key.first;
-    gpus += around_.rules.work(k.first.job).spec.need.gpus;
+    gpus += environment_.rules.work(k.first.job).spec.need.gpus;
   }
   if (work == nullptr) t = {"ended", "no_such", false, t.since, t.since, {}};
   if (busy) t = {"ended", "busy", false, t.since, t.since, {}};
@@ -206,38 +226,38 @@
   const bool was_on = t.phase != "fetching" && t.phase != "ended";
   t.phase = "ended";
   t.cause = cause;
-  if (was_on) around_.rules.leaves(key.first, id_);
+  if (was_on) environment_.rules.leaves(key.first, id_);
   change();
 }
 
 void Worker::stop_task(OnMachine& t, const Key& key, double grace_s) {
-  const auto& spec = around_.rules.work(key.first.job).spec;
+  const auto& spec = environment_.rules.work(key.first.job).spec;
   const bool saves = t.phase == "running" && spec.checkpoint_s > 0 && grace_s >= spec.save_s;
   if (t.phase == "ended" || (t.phase == "saving" && grace_s > 0)) return;
   if (!saves) return end_task(t, key, "stopped");
   t.phase = "saving";
-  t.until = around_.loop.now() + seconds(spec.save_s);
+  t.until = environment_.loop.now() + seconds(spec.save_s);
   change();
 }
 
 void Worker::step_task(const Key& key, OnMachine& t) {
-  const Time now = around_.loop.now();
-  const auto& work = around_.rules.work(key.first.job);
+  const Time now = environment_.loop.now();
+  const auto& work = environment_.rules.work(key.first.job);
   const bool gang = work.spec.shape == Shape::gang;
   if (t.phase == "fetching" && now >= t.until) {
     t.phase = gang ? "gathering" : "running";
     t.since = now;
     t.until =
         now + seconds(work.completed.contains(key.first.index) ? 0 : work.run_s + work.stagger_s * key.first.index);
-    around_.rules.starts(key.first, id_, zone_, spot_, now);
+    environment_.rules.starts(key.first, id_, zone_, spot_, now);
     change();
   } else if (t.phase == "running" && !gang && now >= t.until) {
-    around_.rules.completes(key.first);
+    environment_.rules.completes(key.first);
     end_task(t, key, "done");
   } else if (t.phase == "saving" && now >= t.until) {
     t.saved = true;
     end_task(t, key, "stopped");
-  } else if (t.phase == "gathering" && now - t.since > seconds(around_.terms.gang_wait_s)) {
+  } else if (t.phase == "gathering" && now - t.since > seconds(environment_.terms.gang_wait_s)) {
     end_task(t, key, "alone");
   } else if (t.phase == "running" && t.peer_lost && now >= *t.peer_lost) {
     end_task(t, key, "peers");
@@ -247,11 +267,11 @@
 void Worker::tick() {
   if (!up()) return;
   // One that hangs may go on within its lease, and no longer.
-  if (around_.loop.now() - last_ok_ > seconds(around_.terms.lease_s)) {
-    for (auto& [key, t] : tasks_) around_.rules.leaves(key.first, id_);
+  if (environment_.loop.now() - last_ok_ > seconds(environment_.terms.lease_s)) {
+    for (auto& [key, t] : tasks_) environment_.rules.leaves(key.first, id_);
     tasks_.clear();
     ++session_;
-    last_ok_ = around_.loop.now();
+    last_ok_ = environment_.loop.now();
     change();
   }
   if (hangs()) return;
@@ -268,19 +288,19 @@
   for (auto& w : workers) {
     if (!w->up() || w->hangs()) continue;
     for (auto& [key, t] : w->tasks_) {
-      if (w->around_.rules.work(key.first.job).spec.shape != Shape::gang) continue;
+      if (w->environment_.rules.work(key.first.job).spec.shape != Shape::gang) continue;
       if (t.phase == "ended" || t.phase == "fetching") continue;
       gangs[{key.first.job, key.second}].push_back({w.get(), key, &t});
     }
   }
   for (auto& [gang, members] : gangs) {
-    auto& around = members.front().worker->around_;
-    const auto& work = around.rules.work(gang.first);
+    auto& environment = members.front().worker->environment_;
+    const auto& work = environment.rules.work(gang.first);
     const auto in = [&](const char* phase) {
       return static_cast<std::size_t>(
           std::ranges::count_if(members, [&](const Member& m) { return m.task->phase == phase; }));
     };
-    const Time now = around.loop.now();
+    const Time now = environment.loop.now();
     if (in("gathering") == work.spec.tasks) {
       for (auto& m : members) {
         m.task->phase = "running";
@@ -289,12 +309,12 @@
       }
     } else if (in("running") == work.spec.tasks && now >= members.front().task->until) {
       for (auto& m : members) {
-        around.rules.completes(m.key.first);
+        environment.rules.completes(m.key.first);
         m.worker->end_task(*m.task, m.key, "done");
       }
     } else if (in("running") > 0 && in("running") < work.spec.tasks) {
       for (auto& m : members) {
-        if (!m.task->peer_lost) m.task->peer_lost = now + seconds(around.terms.gang_peer_s);
+        if (!m.task->peer_lost) m.task->peer_lost = now + seconds(environment.terms.gang_peer_s);
       }
     }
   }
--- a/tests/region/worker.hpp
+++ b/tests/region/worker.hpp
@@ -14,7 +14,7 @@
 namespace martenwall::region {
 
 // What a worker needs of the region.
-struct Around {
+struct Environment {
   rt::Loop& loop;
   Rules& rules;
   WorkerTerms terms;
@@ -23,11 +23,15 @@
   std::function<double()> roll;                                    // 0 to 1
   std::size_t late_copies = 0;                                     // that a controller answered with 200
   double late_reports = 0;  // share of reports of which a copy comes again, from 2 s to well over a lease later
+  double kept_reports = 0;  // share of reports of which a copy is kept for the next leader
+  double kept_for_s = 0;    // once it has begun
+  std::vector<std::string> kept{};
+  double fetch_s = 0.5, fetch_more_s = 1.5;  // an image takes the first, and up to the second more
 };
 
 class Worker {
  public:
-  Worker(Around& around, MachineId id, std::string zone, bool spot, Time boots);
+  Worker(Environment& environment, MachineId id, std::string zone, bool spot, Time boots);
   void run();   // its loops
   void tick();  // tasks, and the end of its lease
   void take_away();
@@ -41,16 +45,22 @@
   // Tokens of the answers that renewed its lease, and when.
   [[nodiscard]] const std::vector<std::pair<Time, std::uint64_t>>& renewals() const { return renewals_; }
   [[nodiscard]] bool busy() const;
+  [[nodiscard]] double free_gpus() const;
+  [[nodiscard]] std::uint64_t token() const { return token_; }
+  // Nothing is wrong with it, so that work may be expected to begin there.
+  [[nodiscard]] bool sound() const;
+  [[nodiscard]] bool has(const JobId& job) const;                             // a task of it, in any state but ended
   [[nodiscard]] std::size_t executed_late() const { return executed_late_; }  // commands, after their sender gave up
 
-  void go_deaf(Duration time) { deaf_until_ = around_.loop.now() + time; }         // answers and commands are lost
-  void hang(Duration time) { hangs_until_ = around_.loop.now() + time; }           // commands wait meanwhile
-  void lose_reports(Duration time) { silent_until_ = around_.loop.now() + time; }  // on their way; commands arrive
-  void lose_everyone(Duration time) { cut_until_ = around_.loop.now() + time; }
+  void go_deaf(Duration time) { deaf_until_ = environment_.loop.now() + time; }  // answers and commands are lost
+  void hang(Duration time) { hangs_until_ = environment_.loop.now() + time; }    // commands wait meanwhile
+  // It opens no connection to any controller; commands reach it.
+  void go_mute(Duration time) { silent_until_ = environment_.loop.now() + time; }
+  void lose_everyone(Duration time) { cut_until_ = environment_.loop.now() + time; }
   // It reaches this controller alone, and no command reaches it.
   void keep_to(std::size_t controller, Duration time) {
     target_ = kept_ = controller;
-    kept_until_ = around_.loop.now() + time;
+    kept_until_ = environment_.loop.now() + time;
   }
   // Commands with a start are held for so long before they are executed; once.
   void hold_next_start(Duration time) { hold_start_ = time; }
@@ -74,13 +84,13 @@
   void step_task(const Key& key, OnMachine& t);
   [[nodiscard]] std::string report();
   [[nodiscard]] std::string address() const;  // of the controller that it reports to; empty: not reached
-  [[nodiscard]] bool kept() const { return around_.loop.now() < kept_until_; }
-  [[nodiscard]] bool hangs() const { return around_.loop.now() < hangs_until_; }
+  [[nodiscard]] bool kept() const { return environment_.loop.now() < kept_until_; }
+  [[nodiscard]] bool hangs() const { return environment_.loop.now() < hangs_until_; }
   [[nodiscard]] std::size_t gang_members(const Key& of, const char* phase) const;
   void change() { changed_ = true; }
   friend class Gangs;
 
-  Around& around_;
+  Environment& environment_;
   MachineId id_;
   std::string zone_;
   bool spot_;
