A job bound to a zone that no allowed type is in can never run: 422, not accepted

Before: odd_requests_at_each_node fails with 'yard "nowhere" at 0: 201', and a gang or service that is to be spread was taken though all its zones are one. After: 422 at each node, nothing stored. With it the users' meetings, each brought about: questions at all nodes within milliseconds, only the answer lost (elections, submissions), cancellations while work changes hands and at the moment of an end, one-task jobs for minutes, ill-formed and impossible requests.

--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -1,6 +1,7 @@
 #include "service/user_service.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "wire/user_codec.hpp"
 
@@ -49,11 +50,17 @@
   if (over(team->limit.cpus, need.cpus) || over(team->limit.gpus, need.gpus)) return Fit::never;
   why = "machine types are not known yet";
   if (ctx_.types.empty()) return Fit::unknown;
-  why = "a task fits no allowed machine type";
+  why = "a task fits no allowed machine type, in an allowed zone";
+  std::set<std::string> zones;
   for (const auto& type : ctx_.types) {
-    if (type_allows(spec, type)) return Fit::ok;
+    if (type_allows(spec, type)) zones.insert(type.zones.begin(), type.zones.end());
   }
-  return Fit::never;
+  if (spec.zone) std::erase_if(zones, [&](const std::string& z) { return z != *spec.zone; });
+  if (zones.empty()) return Fit::never;
+  why = "all tasks at a time cannot be spread over one zone";
+  const bool one_zone = spec.one_zone || zones.size() == 1;
+  const bool at_a_time = spec.shape != Shape::array && spec.tasks > 1;
+  return spec.spread && one_zone && at_a_time ? Fit::never : Fit::ok;
 }
 
 rt::Task<rt::HttpResponse> UserService::forward(wire::PeerVerb verb, std::string id, std::string body,
--- /dev/null
+++ b/tests/meetings_users_test.cpp
@@ -0,0 +1,324 @@
+// Meetings in which users take part: questions at all nodes within milliseconds, answers lost, cancellations while work
+// changes hands and at the moment of an end, swarms, requests that must not be taken. docs/safety.md argues each.
+#include "region/busy.hpp"
+#include "wire/user_codec.hpp"
+
+namespace martenwall {
+namespace {
+
+using nlohmann::json;
+using region::Busy;
+using region::Region;
+using region::RegionOptions;
+using region::sets;
+
+JobSpec small_job(std::uint32_t tasks, Shape shape = Shape::array) {
+  JobSpec s;
+  s.shape = shape;
+  s.tasks = tasks;
+  s.need = {1, 1, 8};
+  return s;
+}
+
+// Whatever befalls the controllers, no node answers something older than what a user was told.
+TEST(meetings, users_ask_all_nodes_within_milliseconds) {
+  for (const std::uint64_t seed : {101U, 102U, 103U, 104U}) {
+    SCOPED_TRACE(seed);
+    Busy b{seed, {}, 6};
+    Region& r = b.r;
+    r.look_closely(0.4);
+    JobId last = b.jobs.front();
+    for (int i = 0; i < 14; ++i) {
+      r.submit(small_job(1 + static_cast<std::uint32_t>(i) % 3, i % 4 == 3 ? Shape::gang : Shape::array), 2);
+      auto chained = small_job(1);
+      chained.awaits = {last};
+      last = r.submit(chained, 1);
+      r.run(2.5);
+      const auto l = r.leader();
+      if (!l) continue;
+      if (i == 2) r.kill_for(*l, 0.2);
+      if (i == 4) r.cut_links(*l, 6);
+      if (i == 6) r.store().trouble(*l).refuses_until = r.now() + seconds(5);
+      if (i == 8) r.freeze(*l, 3);
+      if (i == 9) r.kill_for(r.others_of(*l, 1), 0.2);
+      if (i == 10) r.store().slow_down(seconds(0.8), r.now() + seconds(4));
+      if (i == 11) r.store().fail_for(seconds(3));
+    }
+    r.run(10);
+    b.ends_well(400);
+    EXPECT_GT(r.looks(), 400U);
+  }
+}
+
+// A transaction is carried out at once and only its answer is lost, while others read what it wrote.
+TEST(meetings, only_the_answer_is_lost) {
+  std::size_t lost = 0;
+  for (const std::uint64_t seed : {111U, 112U, 113U, 114U}) {
+    SCOPED_TRACE(seed);
+    Busy b{seed, {}, 8};
+    Region& r = b.r;
+    r.look_closely(0.3);
+    for (std::size_t c = 0; c < 3; ++c) {
+      auto& trouble = r.store().trouble(c);
+      trouble.late_share = 0.4;
+      trouble.at_once = true;
+      trouble.late_until = r.now() + seconds(60);
+    }
+    for (int i = 0; i < 10; ++i) {
+      const JobId id = r.submit(small_job(2), 3);
+      r.run(3);
+      if (i % 2 == 0) r.cancel(id, {r.pick(), r.pick()});
+      const auto l = r.leader();
+      if (i == 3 && l) r.kill_for(*l, 0.3);
+      if (i == 5 && l) r.store().trouble(*l).refuses_until = r.now() + seconds(4);
+      if (i == 7 && l) r.cut_links(*l, 5);
+      r.run(3);
+    }
+    r.run(15);
+    lost += r.store().late();
+    b.ends_well(400);
+  }
+  EXPECT_GT(lost, 80U);
+}
+
+// Its writer never hears of the key that it wrote, and is refused the read that would tell.
+TEST(meetings, a_lead_whose_writer_never_hears_of_it) {
+  Busy b{115};
+  Region& r = b.r;
+  std::optional<std::size_t> writer;
+  r.store().make_late(
+      [&](std::size_t from, const json& txn) {
+        if (sets(txn, "lead")) writer = from;
+        return writer.has_value();
+      },
+      Duration{0});
+  r.store().on_commit = [&](const json& txn, bool late) {
+    if (late && writer && sets(txn, "lead")) r.store().trouble(*writer).refuses_until = r.now() + seconds(1.9);
+  };
+  r.kill_for(b.old, 20);
+  ASSERT_TRUE(r.run_until(10, [&] { return writer.has_value(); }));
+  r.cancel(b.jobs.at(0), {r.others_of(b.old, 1), r.others_of(b.old, 2)});
+  EXPECT_TRUE(r.run_until(15, [&] { return r.leader().has_value(); })) << "someone leads in the end";
+  EXPECT_TRUE(r.run_until(15, [&] { return r.rules().work(b.jobs.at(0)).told_cancelled.has_value(); }));
+  EXPECT_EQ(1U, r.store().late());
+  b.ends_well(700);
+}
+
+// Written, and its user never told; asked for, submitted again and called off elsewhere.
+TEST(meetings, a_submission_stored_whose_user_was_not_told) {
+  for (const bool by_leader : {true, false}) {
+    SCOPED_TRACE(by_leader);
+    Busy b{116, {}, 20};
+    Region& r = b.r;
+    r.look_closely();
+    const auto at = by_leader ? b.old : r.others_of(b.old, 1);
+    const auto other = r.others_of(b.old, 2);
+    r.cut_links(at, 6);
+    bool stored = false;
+    r.store().make_late([&](std::size_t from, const json& txn) { return stored = from == at && sets(txn, "j/"); },
+                        Duration{0});
+    const JobId id = r.submit_array(2, 5, at);
+    ASSERT_TRUE(r.run_until(3, [&] { return stored; }));
+    r.ask_once(id, other);
+    r.submit_again(id, other);
+    r.run(0.3);
+    EXPECT_TRUE(r.rules().work(id).accepted.has_value()) << "the other node found it";
+    r.cancel(id, {other});
+    EXPECT_TRUE(r.run_until(20, [&] { return r.rules().work(id).told_cancelled.has_value(); }));
+    b.ends_well(300);
+  }
+}
+
+// Cancellations at each moment of a change of hands, at the old leader too, with its starts still on their way.
+TEST(meetings, cancelled_while_the_work_changes_hands) {
+  for (const double after : {0.0, 0.4, 0.9, 1.5, 2.0, 2.3, 2.6, 3.2}) {
+    for (const bool killed : {false, true}) {
+      SCOPED_TRACE(std::to_string(after) + (killed ? " killed" : " refused"));
+      Busy b{121};
+      Region& r = b.r;
+      for (auto& w : r.workers()) w->hold_next_start(seconds(3));
+      std::vector<JobId> fresh;
+      for (int i = 0; i < 3; ++i) fresh.push_back(r.submit_array(2, 60));
+      r.run(0.6);
+      if (killed) {
+        r.kill_for(b.old, 8);
+      } else {
+        r.store().trouble(b.old).refuses_until = r.now() + seconds(8);
+      }
+      r.run(after);
+      const bool changing = !r.leader() || *r.leader() != b.old || after < 2;
+      for (std::size_t i = 0; i < 3; ++i) r.cancel(b.jobs.at(i), {r.others_of(b.old, i), r.others_of(b.old, i + 1)});
+      for (const auto& id : fresh) r.cancel(id, {r.others_of(b.old, 1), b.old});
+      EXPECT_TRUE(changing);
+      const auto all_told = [&] {
+        return std::ranges::all_of(fresh,
+                                   [&](const JobId& id) { return r.rules().work(id).told_cancelled.has_value(); });
+      };
+      EXPECT_TRUE(r.run_until(15, all_told)) << "each is confirmed within seconds of a leader's being there";
+      r.run(30);
+      b.ends_well(700);
+    }
+  }
+}
+
+// No other trouble: a job is called off, asked for and submitted again just as its last task ends.
+TEST(meetings, a_cancellation_meets_the_end_of_the_last_task) {
+  std::size_t done = 0;
+  std::size_t cancelled = 0;
+  for (const std::uint64_t seed : {131U, 132U, 133U}) {
+    SCOPED_TRACE(seed);
+    Busy b{seed, {}, 6};
+    Region& r = b.r;
+    r.look_closely();
+    r.cancel_at_end(0.7);
+    for (int i = 0; i < 40; ++i) {
+      r.submit(small_job(1 + static_cast<std::uint32_t>(i) % 3, i % 3 == 2 ? Shape::gang : Shape::array), 2);
+      r.run(0.7);
+    }
+    b.ends_well(200);
+    for (const auto& [id, w] : r.rules().works()) {
+      if (!w.cancel_asked) continue;
+      ++(w.told_done ? done : cancelled);
+    }
+  }
+  EXPECT_GT(done + cancelled, 60U) << "called off at the end";
+}
+
+// One-task jobs four a second for minutes, a quarter of them cancelled, by a store that takes few changes.
+TEST(meetings, one_task_jobs_for_minutes) {
+  RegionOptions options;
+  options.write_rps = 30;
+  Busy b{141, options, 5};
+  Region& r = b.r;
+  r.run(20);
+  const auto before = r.store().changes();
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 480; ++i) {
+    jobs.push_back(r.submit_array(1, 2));
+    if (i % 4 == 1) r.cancel(jobs.at(jobs.size() - 2), {r.pick(), r.pick()});
+    r.run(0.25);
+  }
+  b.ends_well(60);
+  const double each = static_cast<double>(r.store().changes() - before) / static_cast<double>(jobs.size());
+  // Submission, row of the task, end with removal of the job's own row, removal of the task's row.
+  EXPECT_LT(each, 7.0) << "changes of the store for each job";
+  double worst = 0;
+  for (const auto& id : jobs) {
+    const auto& w = r.rules().work(id);
+    ASSERT_TRUE(w.accepted.has_value());
+    worst = std::max(worst, to_seconds(*w.accepted - w.submitted));
+  }
+  EXPECT_LT(worst, 10.0) << "no submission starves";
+}
+
+// ---- requests that must not be taken ----
+
+json valid_request() {
+  auto spec = small_job(2);
+  spec.id = JobId{"job-900000"};
+  spec.lane = "x";
+  spec.team = "red";
+  spec.image = "img";
+  spec.image_gb = 1;
+  spec.estimate_s = 5;
+  return wire::encode_job(spec);
+}
+
+struct OddRequest {
+  std::string what;
+  json body;
+  int status;
+};
+
+std::vector<OddRequest> odd_requests() {
+  std::vector<OddRequest> out;
+  const json valid = valid_request();
+  for (const auto& [name, value] : valid.items()) {
+    json without = valid;
+    without.erase(name);
+    out.push_back({"without " + name, without, 400});
+    json null = valid;
+    null[name] = nullptr;
+    out.push_back({"null " + name, null, 400});
+    json ill = valid;
+    ill[name] = value.is_string() ? json{7} : json{"seven"};
+    out.push_back({"ill-typed " + name, ill, 400});
+    if (value.is_number()) {
+      ill[name] = -1;
+      out.push_back({"negative " + name, ill, 400});
+    }
+  }
+  const auto changed = [&](const std::string& name, const json& value, int status) {
+    json o = valid;
+    o[name] = value;
+    out.push_back({name + " " + value.dump(), o, status});
+  };
+  changed("shards", 1.5, 400);
+  changed("shards", 0, 400);
+  changed("shape", "swarm", 400);
+  changed("rank", "low", 400);
+  changed("breeds", json::array({7}), 400);
+  changed("yard", 7, 400);
+  changed("dueS", "soon", 400);
+  changed("crew", "nobody", 422);
+  changed("cpus", 49.0, 422);
+  changed("accelerators", 4.5, 422);
+  changed("memGb", 289.0, 422);
+  changed("breeds", json::array({"huge"}), 422);
+  changed("breeds", json::array(), 422);
+  changed("yard", "nowhere", 422);
+  json gang = valid;
+  gang["shape"] = "ensemble";
+  gang["shards"] = 2000;
+  out.push_back({"a gang beyond its team's limit", gang, 422});
+  gang["shards"] = 2;
+  gang["spread"] = true;
+  gang["oneZone"] = true;
+  out.push_back({"a gang that is to be spread in one zone", gang, 422});
+  gang["oneZone"] = false;
+  gang["yard"] = "a";
+  out.push_back({"a gang that is to be spread and has one zone", gang, 422});
+  return out;
+}
+
+// The same verdict at each node, a leader or not, one that has just begun too; and nothing of it is stored.
+TEST(meetings, odd_requests_at_each_node) {
+  Busy b{151};
+  Region& r = b.r;
+  r.kill(r.others_of(b.old, 2));
+  r.start(r.others_of(b.old, 2));
+  std::size_t unsure = 0;
+  for (const auto& odd : odd_requests()) {
+    for (std::size_t c = 0; c < 3; ++c) {
+      const auto answer = r.request(c, "POST", "/api/jobs", odd.body.dump());
+      if (answer.status == 503) ++unsure;  // it knows no machine types yet
+      EXPECT_TRUE(answer.status == odd.status || (answer.status == 503 && c == r.others_of(b.old, 2)))
+          << odd.what << " at " << c << ": " << answer.status << " " << answer.body;
+    }
+    for (const char* row : {"j/job-900000", "k/job-900000", "f/job-900000", "i/job-900000"}) {
+      EXPECT_FALSE(r.store().has(row)) << odd.what;
+    }
+  }
+  EXPECT_LT(unsure, 3 * odd_requests().size() / 4);
+  for (std::size_t c = 0; c < 3; ++c) {
+    EXPECT_EQ(404, r.request(c, "GET", "/api/jobs/job-900000", "").status);
+    EXPECT_EQ(404, r.request(c, "POST", "/api/jobs/job-900000/cancel", "").status);
+  }
+  // A job that can run, unfinished: its submission again is no new one, whatever is asked of it.
+  json again = wire::encode_job(r.rules().work(b.jobs.at(0)).spec);
+  const JobId done = r.submit_array(1, 1);
+  ASSERT_TRUE(r.run_until(20, [&] { return r.rules().work(done).told_done.has_value(); }));
+  for (std::size_t c = 0; c < 3; ++c) {
+    EXPECT_EQ(200, r.request(c, "POST", "/api/jobs", again.dump()).status);
+    json changed = again;
+    changed["crew"] = "nobody";
+    EXPECT_EQ(200, r.request(c, "POST", "/api/jobs", changed.dump()).status) << "it was accepted";
+    const auto cancelled = r.request(c, "POST", "/api/jobs/" + done.value() + "/cancel", "");
+    EXPECT_EQ(200, cancelled.status);
+    EXPECT_EQ("done", json::parse(cancelled.body).at("phase"));
+  }
+  b.ends_well(400);
+}
+
+}  // namespace
+}  // namespace martenwall
