--- a/src/service/leader_store.hpp
+++ b/src/service/leader_store.hpp
@@ -63,6 +63,7 @@
   void sign(Chunk& chunk);
   void told(const std::vector<RowWrite>& rows);
   enum class Commit { stored, lost, too_large };
+  void log_doubt(const Chunk& chunk, const char* what) const;
   rt::Task<Commit> commit(std::uint64_t term, const Chunk& chunk);
   rt::Task<bool> holds_lead(std::uint64_t term);
   rt::Task<bool> recognise(std::uint64_t term, const Chunk& chunk);
--- a/src/service/leader_writes.cpp
+++ b/src/service/leader_writes.cpp
@@ -1,5 +1,6 @@
 // The leader's fenced writes: which rows go into a transaction, and what became of it.
 #include <algorithm>
+#include <utility>
 
 #include "service/leader_store.hpp"
 
@@ -163,6 +164,11 @@
   co_return applied;
 }
 
+// Once for each transaction: that its outcome is not known, and what became of it.
+void LeaderStore::log_doubt(const Chunk& chunk, const char* what) const {
+  ctx_.log->info("transaction on {} and {} further keys {}", chunk.then.front().key, chunk.then.size() - 1, what);
+}
+
 // Tries until the outcome is known. The same conditions hold each time, so at most one try is applied. One that was
 // called too large is not applied later either, since limits do not rise; but an earlier try may have been.
 rt::Task<LeaderStore::Commit> LeaderStore::commit(std::uint64_t term, const Chunk& chunk) {
@@ -172,9 +178,10 @@
     std::vector<wire::Condition> when = chunk.when;
     std::vector<wire::StoreOp> then = chunk.then;
     const TxnResult r = co_await state_.txn(std::move(when), std::move(then), seconds(1.5), StateClient::Turn::in_line);
-    if (ctx_.term != term) co_return Commit::lost;
+    if (ctx_.term != term) break;
     switch (r.outcome) {
       case TxnOutcome::committed:
+        if (doubtful) log_doubt(chunk, "is stored");
         remember(chunk, r.revision);
         ctx_.metrics.store_writes.observe(ctx_.now() - began);
         co_return Commit::stored;
@@ -182,17 +189,19 @@
       case TxnOutcome::no_lease:
       case TxnOutcome::too_large: {
         const bool applied = doubtful && co_await recognise(term, chunk);
+        if (doubtful) log_doubt(chunk, applied ? "was stored by an earlier try" : "was not stored");
         if (applied) co_return Commit::stored;
         co_return r.outcome == TxnOutcome::too_large&& ctx_.term == term ? Commit::too_large : Commit::lost;
       }
       case TxnOutcome::unknown:
-        doubtful = true;
+        if (!std::exchange(doubtful, true)) log_doubt(chunk, "is in doubt: no answer");
         break;
       case TxnOutcome::refused:
         break;
     }
     co_await ctx_.loop.sleep(seconds(0.1));
   }
+  if (doubtful) log_doubt(chunk, "stays in doubt: this leadership is over");
   co_return Commit::lost;
 }
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -169,6 +169,42 @@
   EXPECT_GT(met, 3U) << "the successor cancelled what the old leader had ended";
 }
 
+// The same, and nothing but that one transaction tells the old leader that it leads no more: it has no other rows to
+// write, and what it asks about its lease is answered late.
+TEST(meetings, an_end_in_doubt_is_recognised_by_the_lead_and_its_mark) {
+  Busy b{39, {}, 60};
+  Region& r = b.r;
+  r.submit_array(7, 60);  // no machine is idle, so that no other row changes
+  r.run(8);
+  const JobId id = r.submit_array(1, 12);
+  const std::string key = "f/" + id.value();
+  bool taken = false;
+  r.store().make_late(
+      [&](std::size_t from, const nlohmann::json& txn) {
+        taken = taken || (from == b.old && sets(txn, key));
+        return taken;
+      },
+      seconds(1000));  // it is lost
+  ASSERT_TRUE(r.run_until(40, [&] { return taken; })) << "the end is sent";
+  r.store().trouble(b.old).refuses_until = r.now() + seconds(9);
+  r.cut_links(b.old, 30);
+  for (auto& w : r.workers()) w->keep_to(b.old, seconds(12));
+  ASSERT_TRUE(r.run_until(6, [&] { return r.leader().has_value() && *r.leader() != b.old; }));
+  r.cancel(id, {r.others_of(b.old, 1), r.others_of(b.old, 2)});
+  ASSERT_TRUE(r.run_until(6, [&] { return r.rules().work(id).told_cancelled.has_value(); }));
+  r.poll_at(id, {r.others_of(b.old, 1)});
+  r.store().trouble(b.old).leases_slower = seconds(0.9);
+  r.run(7);
+  for (int i = 0; i < 60; ++i) {
+    r.ask_once(id, b.old);
+    r.run(0.05);
+  }
+  r.store().trouble(b.old).leases_slower = Duration{0};
+  EXPECT_EQ(1U, r.logged(b.old, "in doubt")) << "said once";
+  EXPECT_EQ(1U, r.logged(b.old, "was not stored"));
+  b.ends_well(700);
+}
+
 // 3 and 7. The end is stored late and read by another node, while its leader still waits for the answer.
 TEST(meetings, an_end_on_its_way_is_not_called_active) {
   Busy b{37};
--- a/tests/region/store.cpp
+++ b/tests/region/store.cpp
@@ -83,6 +83,7 @@
   if (refuses(from)) co_return trouble_reply();
   const auto& trouble = troubles_[from];
   if (loop_.now() < trouble.slower_until) co_await loop_.sleep(trouble.slower);
+  if (request.target.starts_with("/leases")) co_await loop_.sleep(trouble.leases_slower);
   tick();
   if (refuses(from)) co_return trouble_reply();
   const auto& target = request.target;
--- a/tests/region/store.hpp
+++ b/tests/region/store.hpp
@@ -21,8 +21,9 @@
   Time refuses_until{};  // 503, while the others are served
   Time late_until{};     // share of transactions that get no answer and are carried out late
   double late_share = 0;
-  bool at_once = false;  // they are carried out at once, and only the answer is lost
-  Duration slower{0};    // each answer takes so much longer
+  bool at_once = false;       // they are carried out at once, and only the answer is lost
+  Duration slower{0};         // each answer takes so much longer
+  Duration leases_slower{0};  // those about leases
   Time slower_until{};
 };
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -205,6 +205,31 @@
   EXPECT_TRUE(d.beat("i-1", {ended}).empty());  // no reap
 }
 
+// A start that the network holds may come after a cancelled job's tasks have to be gone. So the worker is made to know
+// the attempt by every answer that keeps its session alive, those of a leader that cannot prove itself too.
+TEST(scheduler, a_held_start_is_made_known_by_a_leader_in_grace_too) {
+  Desk d{true};
+  d.beat("i-1");
+  d.job("job-1", Shape::array, 1, 1);
+  d.s.round(d.now);
+  d.commit();
+  const auto batches = d.s.take_direct(d.now);
+  ASSERT_EQ(1U, batches.size());
+  d.s.on_direct(batches[0], DirectOutcome::unknown, d.now);
+  d.s.cancel(JobId{"job-1"}, d.now);
+  const auto verbs = [&] {
+    std::vector<Order::Verb> out;
+    const bool proven = false;
+    for (const auto& o : d.s.on_report(d.report("i-1"), ReportSource::beat, d.now, proven)) out.push_back(o.verb);
+    return out;
+  };
+  EXPECT_EQ((std::vector{Order::Verb::start, Order::Verb::stop}), verbs());
+  d.now += seconds(32);
+  EXPECT_EQ((std::vector{Order::Verb::start, Order::Verb::stop}), verbs()) << "7 s before they have to be gone";
+  d.now += seconds(2);
+  EXPECT_EQ((std::vector{Order::Verb::stop}), verbs()) << "a start now could be carried out too late";
+}
+
 // Found with real processes: six machines stayed for over a minute with nothing to do.
 TEST(scheduler, idle_machines_go_back_sooner_when_no_one_submits) {
   Desk d{false, Policy{}.idle_release};
