Machines are hired by zone for a job that is to be spread: it waited for ever

The plan of the fleet counted room in a zone that has its half of the job. Before: a_gang_that_is_to_be_spread_gets_machines_in_another_zone fails (hired 0). The region's judge told room by sums over zones; a gang that is to be spread counts half of itself a zone at most.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -32,6 +32,7 @@
   void serve(const Demand& d) {
     d.job->room_at.reset();
     allowed_ = allowed_kinds(*d.spec, kinds_);
+    in_zone_ = d.in_zone;
     if (d.spec->shape == Shape::gang && d.spec->one_zone && d.zone.empty()) return serve_in_one_zone(d);
     serve_in(d, d.zone);
   }
@@ -121,9 +122,19 @@
     kind_.push_back(kind_of(kinds_, *v.type, v.zone, v.spot));
     if (least_.fits_in(v.room)) open_.push_back(i);
   }
-  static std::uint32_t fill(const JobSpec& spec, Prospect& v, std::uint32_t most) {
+  // A zone that has its half of a job that is to be spread is no room for the rest of it, however many machines idle
+  // there: such a job waited for ever, with machines kept for it and none hired in another zone.
+  [[nodiscard]] std::uint32_t room_in(const JobSpec& spec, const std::string& zone) const {
+    if (!spec.spread) return spec.tasks;
+    const auto it = in_zone_.find(zone);
+    const auto there = it == in_zone_.end() ? 0 : it->second;
+    return (spec.tasks + 1) / 2 - std::min(there, (spec.tasks + 1) / 2);
+  }
+  std::uint32_t fill(const JobSpec& spec, Prospect& v, std::uint32_t most) {
+    const auto limit = std::min(most, room_in(spec, v.zone));
     std::uint32_t n = 0;
-    for (; n < most && spec.need.fits_in(v.room); ++n) v.room.add(spec.need, -1);
+    for (; n < limit && spec.need.fits_in(v.room); ++n) v.room.add(spec.need, -1);
+    if (spec.spread) in_zone_[v.zone] += n;
     return n;
   }
 
@@ -132,7 +143,7 @@
     for (const auto& type : view_.types) {
       if (!type_allows(spec, type)) continue;
       for (const auto& z : type.zones) {
-        if (!zone.empty() && z != zone) continue;
+        if ((!zone.empty() && z != zone) || room_in(spec, z) == 0) continue;
         for (const bool spot : {true, false}) {
           if ((spot_only && !spot) || !place_allows(spec, z, spot) ||
               !view_.capacity.open(type.name, z, spot, view_.now))
@@ -155,6 +166,7 @@
   std::vector<std::size_t> kind_;  // of each in the pool
   std::vector<std::size_t> open_;  // those in the pool with room for the smallest need of all, in its order
   std::vector<char> allowed_;      // by kind, for the demand that is being served
+  std::map<std::string, std::uint32_t> in_zone_;  // its tasks, if it is to be spread
   Resources least_{1e18, 1e18, 1e18};
 };
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -36,6 +36,7 @@
   std::uint32_t count = 0;  // tasks without room; a gang's all or none
   std::string zone;         // where the job's other tasks bind it, or empty
   bool spot_only = false;
+  std::map<std::string, std::uint32_t> in_zone{};  // of a job that is to be spread: its other tasks
 };
 
 // Room that is there or on its way: free machines, booting ones, those asked for.
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -364,8 +364,9 @@
     }
     if (left == 0 || (spec.shape == Shape::gang && left < spec.tasks)) continue;
     used.add(spec.team, spec.need, left);
-    const auto zones = spec.one_zone ? zones_of(*row.job, machines_) : ZoneCounts{};
-    out.push_back({&spec, row.job, left, zones.empty() ? std::string{} : zones.begin()->first, row.spot_only});
+    auto zones = spec.one_zone || spec.spread ? zones_of(*row.job, machines_) : ZoneCounts{};
+    std::string bound = spec.one_zone && !zones.empty() ? zones.begin()->first : std::string{};
+    out.push_back({&spec, row.job, left, std::move(bound), row.spot_only, std::move(zones)});
   }
   return out;
 }
--- a/tests/fleet_size_test.cpp
+++ b/tests/fleet_size_test.cpp
@@ -176,5 +176,31 @@
   EXPECT_TRUE(h.beat(r).empty());
 }
 
+// Found by the region's generated days: four machines idled in one zone, a gang of three that is to be spread waited
+// for ever, and nothing was hired in the other.
+TEST(fleet_size, a_gang_that_is_to_be_spread_gets_machines_in_another_zone) {
+  Hall h;
+  for (int i = 0; i < 4; ++i) h.s.on_report(Hall::report(machine(i), 1), ReportSource::beat, h.now, true);
+  for (const Shape shape : {Shape::gang, Shape::array}) {
+    Job j;
+    j.spec.id = JobId{shape == Shape::gang ? "job-1" : "job-2"};
+    j.spec.team = "red";
+    j.spec.shape = shape;
+    j.spec.tasks = 3;
+    j.spec.need = {1, 4, 1};
+    j.spec.spread = true;
+    j.submitted = h.now;
+    h.s.add_job(std::move(j), h.now);
+    h.s.round(h.now);
+    h.now += seconds(1);
+  }
+  std::uint32_t hired = 0;
+  for (const auto& request : h.s.take_hires()) {
+    EXPECT_EQ("b", request.zone);
+    hired += request.count;
+  }
+  EXPECT_EQ(2U, hired) << "one for each";
+}
+
 }  // namespace
 }  // namespace martenwall
--- a/tests/region/region.cpp
+++ b/tests/region/region.cpp
@@ -268,7 +268,10 @@
       places[w->zone()] += static_cast<std::size_t>(w->free_gpus() / spec.need.gpus + 1e-6);
   }
   std::size_t most = 0;
-  for (const auto& [zone, n] : places) most = spec.one_zone ? std::max(most, n) : most + n;
+  const std::size_t most_each = spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
+  for (const auto& [zone, n] : places) {
+    most = spec.one_zone ? std::max(most, n) : most + std::min(n, most_each);
+  }
   // Of an array in one zone or spread over several other tasks decide the place: not judged here.
   if (!whole && (spec.one_zone || spec.spread) && fetching) return false;
   return most >= (whole ? spec.tasks : 1);
