--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -83,12 +83,17 @@
   return out;
 }
 
-std::optional<Eviction> cheapest(const Row& row, std::vector<Candidate> candidates, std::size_t wanted, bool all) {
+// `there`: its other tasks, by zone.
+std::optional<Eviction> cheapest(const Row& row, std::vector<Candidate> candidates, std::size_t wanted, bool all,
+                                 ZoneCounts there) {
   std::ranges::stable_sort(candidates, {}, &Candidate::cost_each);
   Eviction out;
   std::size_t tasks = 0;
   for (const auto& c : candidates) {
     if (tasks >= wanted || (!all && out.machines.size() >= most_machines)) break;
+    const auto& zone = c.machine->machine->zone;
+    if (!zone_allows(row.job->spec, there, zone)) continue;
+    there[zone] += c.tasks;
     tasks += c.tasks;
     out.machines.push_back(c.machine->machine);
     for (std::size_t v = 0; v < c.victims; ++v) {
@@ -104,7 +109,8 @@
 
 }  // namespace
 
-std::optional<Eviction> plan_eviction(const VictimTable& table, const Row& row, std::uint32_t wanted) {
+std::optional<Eviction> plan_eviction(const VictimTable& table, const Row& row, std::uint32_t wanted,
+                                      const ZoneCounts& there) {
   const auto& spec = row.job->spec;
   const bool gang = spec.shape == Shape::gang;
   std::map<std::string, std::vector<Candidate>> by_zone;
@@ -122,7 +128,7 @@
   }
   std::optional<Eviction> best;
   for (auto& [zone, candidates] : by_zone) {
-    auto e = cheapest(row, std::move(candidates), wanted, gang);
+    auto e = cheapest(row, std::move(candidates), wanted, gang, there);
     if (e && (!best || e->cost < best->cost)) best = std::move(e);
   }
   return best;
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -5,6 +5,7 @@
 
 #include "core/heuristics.hpp"
 #include "core/ledger.hpp"
+#include "core/matcher.hpp"
 
 namespace martenwall {
 
@@ -42,7 +43,8 @@
 // GPU-seconds. `spec` is the victim's job's, or nothing where the job is over.
 double lost_work_s(const Policy& policy, const JobSpec* spec, const MachineType& type, const Placement& victim,
                    Time now);
-// Room for `wanted` tasks; of an array also for fewer.
-std::optional<Eviction> plan_eviction(const VictimTable& table, const Row& row, std::uint32_t wanted);
+// Room for `wanted` tasks; of an array also for fewer. `there`: the job's other tasks by zone, where they bind it.
+std::optional<Eviction> plan_eviction(const VictimTable& table, const Row& row, std::uint32_t wanted,
+                                      const ZoneCounts& there);
 
 }  // namespace martenwall
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -284,7 +284,8 @@
       tries = std::min(tries, std::max<std::size_t>(4, max_machines_tried / std::max<std::size_t>(1, table->size())));
     }
     --tries;
-    const auto plan = plan_eviction(*table, row, wanted);
+    const auto there = spec.one_zone || spec.spread ? zones_of(*row.job, machines_) : ZoneCounts{};
+    const auto plan = plan_eviction(*table, row, wanted, there);
     if (!plan) {
       row.job->preempt_after = now + eviction_retry;
       continue;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -230,6 +230,29 @@
   EXPECT_EQ((std::vector{Order::Verb::stop}), verbs()) << "a start now could be carried out too late";
 }
 
+// Found by reading, after the region's generated days found that machines were not hired by zone either: work was
+// stopped again and again to make room where the job's other tasks forbid it to go.
+TEST(scheduler, nothing_is_stopped_for_a_job_that_its_other_tasks_bind_to_another_zone) {
+  Desk d;
+  d.beat("i-2", {}, "b");
+  d.job("job-2", Shape::array, 1, 4, "blue", Rank::best_effort);
+  d.s.round(d.now);
+  d.commit();
+  d.beat("i-2", {}, "b");
+  const auto runs = Desk::task("job-2", 0, 1, TaskState::running);
+  d.beat("i-2", {runs}, "b");
+  d.beat("i-1", {}, "a");
+  d.job("job-1", Shape::array, 2, 4, "red", Rank::high, true);
+  for (int i = 0; i < 3; ++i) {
+    d.now += seconds(1);
+    d.s.round(d.now);
+    d.beat("i-1", {}, "a");
+    d.beat("i-2", {runs}, "b");
+  }
+  ASSERT_EQ(1U, d.s.find_job(JobId{"job-1"})->placed.size()) << "bound to zone a";
+  for (const auto& p : d.s.machines().at(MachineId{"i-2"}).placements) EXPECT_FALSE(p.stop_wanted);
+}
+
 // Found with real processes: six machines stayed for over a minute with nothing to do.
 TEST(scheduler, idle_machines_go_back_sooner_when_no_one_submits) {
   Desk d{false, Policy{}.idle_release};
