ran_twice: an old attempt beside the one that runs no longer frees its task

An old report, the first that a new leader hears of a machine, shows an earlier attempt of a task that runs there; a second change of leader; a true report lacks the old attempt, and the task was given free with it. Placement by index and machine did not tell the attempts apart, and its row named them twice. Before: an_old_attempt_beside_the_one_that_runs_frees_nothing fails at 'it runs there'. Now another attempt on the machine goes on holding the task, a stray is never on the machine that holds it (Job::hold), and rows written twice are read once.

--- a/src/core/model.cpp
+++ b/src/core/model.cpp
@@ -106,6 +106,15 @@
   placed[index] = machine;
 }
 
+void Job::hold(std::uint32_t index, const MachineId& machine) {
+  const auto holder = placed.find(index);
+  if (holder == placed.end()) {
+    take(index, machine);
+  } else if (holder->second != machine) {
+    strays.emplace(index, machine);
+  }
+}
+
 void Job::give_back(std::uint32_t index) {
   placed.erase(index);
   if (!done.contains(index) && !is_final(phase)) returned.insert(index);
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -205,7 +205,7 @@
   std::set<JobId> open;                         // of those that it awaits, the ones not known to be done
   // In memory only:
   std::map<std::uint32_t, MachineId> placed;             // tasks that may be on a machine
-  std::set<std::pair<std::uint32_t, MachineId>> strays;  // found on a second machine besides
+  std::set<std::pair<std::uint32_t, MachineId>> strays;  // found on a second machine besides, never on the same
   std::set<std::uint32_t> returned;                      // came back, to be started again
   std::uint32_t next_fresh = 0;                          // no index from here on was ever started
   Time not_before{};
@@ -229,6 +229,8 @@
   [[nodiscard]] std::uint32_t unfinished() const { return spec.tasks - done.count(); }
   void take(std::uint32_t index, const MachineId& machine);
   void give_back(std::uint32_t index);
+  // May be there: as the one place of the task, or besides another.
+  void hold(std::uint32_t index, const MachineId& machine);
   [[nodiscard]] std::uint32_t failed_machines() const {
     return failed_before + static_cast<std::uint32_t>(failed_on.size());
   }
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -306,11 +306,7 @@
     p.stop_since = now;
     if (job != nullptr && t.task.index < job->spec.tasks) {
       // While it is there, it may start nowhere else.
-      if (job->placed.contains(t.task.index)) {
-        job->strays.emplace(t.task.index, m.id);
-      } else {
-        job->take(t.task.index, m.id);
-      }
+      job->hold(t.task.index, m.id);
       mark(*job, t.task.index, Duration{0}, now);
     }
   }
@@ -369,6 +365,12 @@
   if (it == jobs_.end()) return;
   Job& job = it->second;
   mark(job, p.task.index, end_delay, now);
+  // An old report shows an earlier attempt beside the one that is there: that one goes on holding the task. It was
+  // freed with the other, and started on a second machine (`ran_twice` in the simulation, two changes of leader in a
+  // row).
+  const bool another_attempt = std::ranges::any_of(
+      m.placements, [&](const Placement& o) { return &o != &p && o.occupies() && o.task == p.task; });
+  if (another_attempt) return;
   if (job.strays.erase({p.task.index, m.id}) > 0) return;
   const auto holder = job.placed.find(p.task.index);
   if (holder == job.placed.end() || holder->second != m.id) return;
--- a/src/core/scheduler_store.cpp
+++ b/src/core/scheduler_store.cpp
@@ -107,6 +107,7 @@
 void Scheduler::load_held(Job& job, const TaskRow& row, const TaskRow::Held& h, Time now) {
   Machine& m = known_machine(h.machine, now);
   if (m.zone.empty()) m.zone = h.zone;
+  if (m.find(TaskId{row.job, h.index}, h.attempt) != nullptr) return;  // versions before told it twice
   Placement p{TaskId{row.job, h.index}, h.attempt, Generation{0}, now};
   p.team = row.team;
   p.need = row.need;
@@ -121,12 +122,8 @@
     p.stop_wanted = true;
     p.stop_since = now;
   }
-  if (job.placed.contains(h.index)) {
-    p.stray = true;
-    job.strays.emplace(h.index, m.id);
-  } else {
-    job.take(h.index, m.id);
-  }
+  p.stray = job.placed.contains(h.index);
+  job.hold(h.index, m.id);
   add(m, std::move(p));
 }
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -230,6 +230,36 @@
   EXPECT_EQ((std::vector{Order::Verb::stop}), verbs()) << "a start now could be carried out too late";
 }
 
+// Found by the simulation, `ran_twice`: an old report, the first that a leader hears of a machine, shows an earlier
+// attempt of a task that runs there. Another leader follows; a true report lacks the old attempt, and the task was
+// given free with it, beside the one that runs.
+TEST(scheduler, an_old_attempt_beside_the_one_that_runs_frees_nothing) {
+  const JobId id{"job-1"};
+  Desk first;
+  first.job("job-1", Shape::array, 1, 1);
+  first.inherit(id, 5);
+  first.s.finish_load(first.now);
+  first.beat("i-1", {Desk::task("job-1", 0, 2, TaskState::running)}, "a", 40);  // the old report
+  const auto rows = first.commit();
+  const auto* row = Desk::find(rows, RowKind::tasks);
+  ASSERT_NE(nullptr, row);
+  EXPECT_EQ(2U, row->tasks->held.size()) << "each attempt once";
+
+  for (const bool twice : {false, true}) {  // as versions before wrote it
+    Desk next;
+    next.job("job-1", Shape::array, 1, 1);
+    TaskRow stored = *row->tasks;
+    if (twice) stored.held.insert(stored.held.end(), row->tasks->held.begin(), row->tasks->held.end());
+    next.s.load_tasks(stored, next.now);
+    next.s.finish_load(next.now);
+    for (int i = 0; i < 2; ++i) next.beat("i-1", {Desk::task("job-1", 0, 5, TaskState::running)});
+    EXPECT_TRUE(next.s.find_job(id)->placed.contains(0)) << "it runs there";
+    next.beat("i-1", {Desk::task("job-1", 0, 5, TaskState::ended, ExitCause::stopped)});
+    EXPECT_FALSE(next.s.find_job(id)->placed.contains(0)) << "and nothing holds it any more";
+    EXPECT_TRUE(next.s.find_job(id)->strays.empty());
+  }
+}
+
 // Found by reading, after the region's generated days found that machines were not hired by zone either: work was
 // stopped again and again to make room where the job's other tasks forbid it to go.
 TEST(scheduler, nothing_is_stopped_for_a_job_that_its_other_tasks_bind_to_another_zone) {
