--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -67,7 +67,7 @@
   void cancel_at_end(double share);
   // One request outside of any job's life, and its answer.
   rt::HttpResult request(std::size_t at, std::string method, std::string target, std::string body);
-  [[nodiscard]] std::size_t looks() const { return looks_; }  // answered questions of those that look closely
+  [[nodiscard]] std::size_t looks() const { return looks_; }  // questions asked by those that look closely
   // Where this leader believes tasks of the job to be.
   [[nodiscard]] std::set<MachineId> machines_of(std::size_t c, const JobId& id) const;
   [[nodiscard]] bool all_over() const;
