--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -215,7 +215,8 @@
   std::uint32_t failed_before = 0;  // machines that it failed on under earlier leaders
   std::uint32_t running = 0;        // tasks reported as running
   bool suspect = false;             // fails wherever it goes: most likely it was submitted with a mistake
-  bool limit_logged = false;
+  bool limit_logged = false, all_run_logged = false;
+  double ran_s = 0;                                  // run time of its tasks that are over, under this leader
   bool start_counted = false, late_counted = false;  // in the service record
   Time waiting_since{};
   Time preempt_after{};
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -165,9 +165,12 @@
     p.need = job.spec.need;
     p.rank = job.rank;
     const bool cached = m.has_image(job.image);
-    log_("task " + to_string(p.task) + " attempt " + std::to_string(p.attempt.value()) + " placed on " + m.id.value() +
-         (cached ? " (image there)" : " (image to fetch)") + ", " +
-         std::to_string(to_seconds(now - job.waiting_since)) + " s waited");
+    ++task_counts_.placed;
+    if (setup_.log_tasks) {
+      log_("task " + to_string(p.task) + " attempt " + std::to_string(p.attempt.value()) + " placed on " +
+           m.id.value() + (cached ? " (image there)" : " (image to fetch)") + ", " +
+           std::to_string(to_seconds(now - job.waiting_since)) + " s waited");
+    }
     p.gen = mark(job, *index, Duration{0}, now);
     add(m, std::move(p));
     job.take(*index, m.id);
@@ -476,6 +479,9 @@
   };
   log_("store: to be written " + late(Urgency::awaited) + "; of guests " + late(Urgency::borrowed) + "; spare " +
        late(Urgency::spare));
+  const TaskCounts counts = std::exchange(task_counts_, {});
+  log_("tasks: " + std::to_string(counts.placed) + " placed, " + std::to_string(counts.began) + " began, " +
+       std::to_string(counts.ended) + " ended, " + std::to_string(counts.completed) + " of them completed");
   std::size_t pending = 0;
   for (const auto& row : board.rows) pending += row.count;
   const auto deferred = std::ranges::count_if(board.rows, [](const Row& r) { return r.deferred > 0; });
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -10,8 +10,6 @@
 namespace {
 constexpr double drift_allowance = 1.001;
 constexpr Duration tombstone_life = seconds(600);
-// Ends of an array's tasks wait a moment for each other: only the last one is awaited by a user.
-constexpr Duration end_delay = seconds(1.2);
 }  // namespace
 
 Scheduler::Scheduler(Setup setup, Log log) : setup_(std::move(setup)), log_(std::move(log)), used_(teams_) {
@@ -132,7 +130,19 @@
   }
   stale_ = true;
   log_("job " + job.spec.id.value() + (phase == JobPhase::done ? " done" : " cancelled") + " after " +
-       std::to_string(to_seconds(now - job.submitted)) + " s");
+       std::to_string(to_seconds(now - job.submitted)) + " s, its tasks ran " + std::to_string(run_time_s(job, now)) +
+       " s");
+}
+
+double Scheduler::run_time_s(const Job& job, Time now) const {
+  double sum = job.ran_s;
+  for (const auto& [index, machine] : job.placed) {
+    for (const auto& p : machines_.at(machine).placements) {
+      const bool runs = p.task.job == job.spec.id && p.task.index == index && p.state() == TaskState::running;
+      if (runs) sum += to_seconds(now - p.running_since);
+    }
+  }
+  return sum;
 }
 
 // ---- workers ----
@@ -260,59 +270,6 @@
   return took_up;
 }
 
-void Scheduler::on_progress(Machine& m, Placement& p, const TaskReport& t, Time now) {
-  const auto before = p.state();
-  p.enter(t.state, now);
-  if (before == p.state()) return;
-  settle(m, p);
-  const auto it = jobs_.find(p.task.job);
-  if (it == jobs_.end()) return;
-  Job& job = it->second;
-  if (t.state >= TaskState::waiting && !job.ghost) {
-    const auto* type = type_of(m.type);
-    const bool fresh = !m.has_image(job.image);
-    m.touch_image(job.image, job.spec.image_gb, type != nullptr ? type->cache_gb : 1e9);
-    if (fresh) mark(m, now);
-  }
-  if (t.state == TaskState::running) {
-    if (job.phase == JobPhase::pending) job.enter(JobPhase::running);
-    log_("task " + to_string(p.task) + " runs on " + m.id.value() + ", " +
-         std::to_string(to_seconds(now - p.placed_at)) + " s after its placement");
-  }
-}
-
-void Scheduler::on_stray(Machine& m, const TaskReport& t, Time now) {
-  Placement p{t.task, t.attempt, Generation{0}, now};
-  p.stray = true;
-  const auto it = jobs_.find(t.task.job);
-  Job* job = it == jobs_.end() ? nullptr : &it->second;
-  if (job != nullptr) {
-    p.team = job->spec.team;
-    p.need = job->spec.need;
-    p.rank = job->rank;
-  }
-  p.enter(t.state, now);
-  if (t.state == TaskState::ended) {
-    p.cause = t.cause;
-    // A result is a result, whoever started it: an earlier leader may have recorded the end of
-    // the placement without the end of the task.
-    if (t.cause == ExitCause::done && job != nullptr && t.task.index < job->spec.tasks) {
-      p.gen = mark(*job, t.task.index, end_delay, now);
-      on_task_done(*job, t.task.index, now);
-    }
-  } else {
-    log_("task " + to_string(t.task) + " is on " + m.id.value() + " without a record: stopped");
-    p.stop_wanted = true;
-    p.stop_since = now;
-    if (job != nullptr && t.task.index < job->spec.tasks) {
-      // While it is there, it may start nowhere else.
-      job->hold(t.task.index, m.id);
-      mark(*job, t.task.index, Duration{0}, now);
-    }
-  }
-  add(m, std::move(p));
-}
-
 bool Scheduler::take_absences(Machine& m, const WorkerReport& r, ReportSource source, Time now) {
   std::set<std::pair<TaskId, Attempt>> present;
   for (const auto& t : r.tasks) present.emplace(t.task, t.attempt);
@@ -360,197 +317,6 @@
   }
 }
 
-void Scheduler::give_back(Machine& m, const Placement& p, Time now) {
-  const auto it = jobs_.find(p.task.job);
-  if (it == jobs_.end()) return;
-  Job& job = it->second;
-  mark(job, p.task.index, end_delay, now);
-  // An old report shows an earlier attempt beside the one that is there: that one goes on holding the task. It was
-  // freed with the other, and started on a second machine (`ran_twice` in the simulation, two changes of leader in a
-  // row).
-  const bool another_attempt = std::ranges::any_of(
-      m.placements, [&](const Placement& o) { return &o != &p && o.occupies() && o.task == p.task; });
-  if (another_attempt) return;
-  if (job.strays.erase({p.task.index, m.id}) > 0) return;
-  const auto holder = job.placed.find(p.task.index);
-  if (holder == job.placed.end() || holder->second != m.id) return;
-  // Two machines can hold one task (a stray of an earlier leader): it is free only when both are over.
-  const auto other = job.strays.lower_bound({p.task.index, MachineId{}});
-  if (other != job.strays.end() && other->first == p.task.index) {
-    holder->second = other->second;
-    job.strays.erase(other);
-    return;
-  }
-  job.give_back(p.task.index);
-  if (!is_final(job.phase)) job.waiting_since = now;
-}
-
-void Scheduler::vacate(Machine& m, Placement& p, Time now, const char* why) {
-  log_("task " + to_string(p.task) + " is off " + m.id.value() + ": " + why);
-  p.gone = true;
-  settle(m, p);
-  if (m.empty()) m.idle_since = now;
-  give_back(m, p, now);
-  const auto it = jobs_.find(p.task.job);
-  if (it == jobs_.end()) return;
-  Job& job = it->second;
-  forget_fetch(m, job);
-  if (job.spec.shape == Shape::gang && !p.stray) break_gang(job, now);
-}
-
-void Scheduler::sweep(Machine& m) {
-  for (auto& p : m.placements) {
-    if (p.gone) settle(m, p);
-  }
-  std::erase_if(m.placements, [](const Placement& p) { return p.gone; });
-}
-
-void Scheduler::break_gang(Job& job, Time now) {
-  if (!is_final(job.phase)) stop_placed(job, 0, now, "its gang is broken");
-}
-
-// All tasks of the job that may be on a machine; a stray among them is being stopped already.
-void Scheduler::stop_placed(Job& job, double grace_s, Time now, const char* why) {
-  // A copy: what was not started yet is given back at once.
-  for (const auto& [index, id] : std::map{job.placed}) {
-    const auto it = machines_.find(id);
-    if (it == machines_.end()) continue;
-    for (auto& p : it->second.placements) {
-      if (p.occupies() && p.task.index == index && p.task.job == job.spec.id)
-        want_stop(it->second, p, grace_s, now, why);
-    }
-  }
-}
-
-void Scheduler::want_stop(Machine& m, Placement& p, double grace_s, Time now, const char* why) {
-  if (!p.occupies()) return;
-  if (p.stop_wanted) {
-    if (grace_s < p.stop_grace_s) {
-      p.stop_grace_s = grace_s;
-      p.stop_sent = false;
-      touched_.insert(m.id);
-    }
-    return;
-  }
-  p.stop_wanted = true;
-  p.stop_grace_s = grace_s;
-  p.stop_since = now;
-  touched_.insert(m.id);
-  log_("task " + to_string(p.task) + " on " + m.id.value() + " to be stopped: " + why);
-  // Nothing was sent yet, so nothing can arrive.
-  if (!p.seen() && !p.in_flight() && !p.inherited) vacate(m, p, now, "not started");
-}
-
-void Scheduler::on_task_done(Job& job, std::uint32_t index, Time now) {
-  if (is_final(job.phase) || index >= job.spec.tasks) return;
-  absolve(job, "a task of it completed");
-  if (job.spec.shape == Shape::service) return;
-  if (job.spec.shape == Shape::gang) {
-    // The tasks of a gang complete together: if one is done, all are.
-    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) job.done.insert(i);
-  } else {
-    job.done.insert(index);
-    job.returned.erase(index);
-    if (job.next_fresh <= index) {
-      for (; job.next_fresh < index; ++job.next_fresh) {
-        if (!job.done.contains(job.next_fresh) && !job.placed.contains(job.next_fresh))
-          job.returned.insert(job.next_fresh);
-      }
-      job.next_fresh = index + 1;
-    }
-  }
-  if (job.done.count() >= job.spec.tasks) finish_job(job, JobPhase::done, now);
-}
-
-void Scheduler::learn(const Job& job, const Placement& p, Time now) {
-  if (job.spec.estimate_s <= 0 || p.running_since == Time{} || job.failures > 0) return;
-  const double ratio = to_seconds(now - p.running_since) / job.spec.estimate_s;
-  auto [it, fresh] = lane_ratio_.try_emplace(job.spec.lane, 1.0);
-  it->second += 0.1 * (std::clamp(ratio, 0.2, 5.0) - it->second);
-}
-
-// A machine gives a fetch up when no task waits for it any more.
-void Scheduler::forget_fetch(Machine& m, const Job& job) {
-  const bool wanted = std::ranges::any_of(m.placements, [&](const Placement& p) {
-    const auto* other = find_job(p.task.job);
-    return p.occupies() && other != nullptr && other->image == job.image;
-  });
-  if (!wanted) m.drop_fetch(job.image);
-}
-
-void Scheduler::on_exit(Machine& m, Placement& p, const TaskReport& t, Time now) {
-  p.enter(TaskState::ended, now);
-  p.cause = t.cause;
-  p.gen = Generation{0};
-  settle(m, p);
-  log_("task " + to_string(p.task) + " ended on " + m.id.value() + ": " + std::string{name_of(t.cause)} +
-       (t.saved ? ", saved" : ""));
-  if (m.empty()) m.idle_since = now;
-  const auto it = jobs_.find(p.task.job);
-  if (it == jobs_.end()) return;
-  Job& job = it->second;
-  forget_fetch(m, job);
-  if (t.cause == ExitCause::done) {
-    m.blamed_by.clear();
-    if (!is_final(job.phase)) learn(job, p, now);
-    if (job.strays.erase({p.task.index, m.id}) == 0) job.placed.erase(p.task.index);
-    // Only a result must be stored before the worker may forget it.
-    p.gen = mark(job, p.task.index, end_delay, now);
-    if (job.spec.shape == Shape::service && !is_final(job.phase)) job.returned.insert(p.task.index);
-    on_task_done(job, p.task.index, now);
-  } else {
-    give_back(m, p, now);
-    if (!is_final(job.phase)) {
-      on_task_failed(m, job, t.cause, now);
-      if (job.spec.shape == Shape::gang) break_gang(job, now);
-    }
-  }
-}
-
-void Scheduler::on_task_failed(Machine& m, Job& job, ExitCause cause, Time now) {
-  switch (cause) {
-    case ExitCause::error:
-      on_error(m, job, now);
-      break;
-    case ExitCause::no_room:
-    case ExitCause::busy:
-      m.no_starts_before = now + seconds(2);
-      break;
-    case ExitCause::unknown:
-      job.not_before = now + seconds(2);
-      break;
-    default:
-      break;
-  }
-}
-
-void Scheduler::notice(Machine& m, double notice_s, Time now) {
-  if (m.taken_at) return;
-  m.taken_at = now + seconds(notice_s);
-  drain(m, now, "taken back by the cloud");
-}
-
-void Scheduler::drain(Machine& m, Time now, const char* why) {
-  if (m.phase() != MachinePhase::up && m.phase() != MachinePhase::booting) return;
-  log_("machine " + m.id.value() + " draining: " + why);
-  m.enter(MachinePhase::draining, now);
-  for (auto& p : m.placements) {
-    if (!p.occupies()) continue;
-    const auto it = jobs_.find(p.task.job);
-    const double grace = it != jobs_.end() && it->second.spec.checkpoint_s > 0 ? it->second.spec.save_s : 0;
-    if (it != jobs_.end() && it->second.spec.shape == Shape::gang) {
-      stop_in_order(it->second, now, why);
-    } else {
-      want_stop(m, p, grace, now, why);
-    }
-  }
-}
-
-// A gang is stopped in order on all its machines, or its progress is lost.
-void Scheduler::stop_in_order(Job& job, Time now, const char* why) {
-  stop_placed(job, job.spec.checkpoint_s > 0 ? job.spec.save_s : 0, now, why);
-}
-
 // ---- time ----
 
 void Scheduler::free_inherited(Machine& m, Time now) {
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -27,7 +27,8 @@
     StartAims aims;
     std::vector<Team> teams;
     std::size_t max_tasks_per_machine = 60;
-    bool spans = true;                // all nodes read rows that name their runs; else rows by number are written
+    bool log_tasks = true;  // each task's placement, beginning and result; else only what is out of the ordinary
+    bool spans = true;      // all nodes read rows that name their runs; else rows by number are written
     std::uint32_t legacy_size = 100;  // task indices in a row by number
     std::uint32_t span_size = 40;     // in a row that names its run
     std::size_t group_size = 25;      // machines in one row
@@ -187,6 +188,9 @@
   void let_back(Machine& m, const JobId& job, Time now);
   [[nodiscard]] bool may_probe(Job& job, Time now);
   void learn(const Job& job, const Placement& p, Time now);
+  void count_run(const Placement& p, Time now);
+  [[nodiscard]] double run_time_s(const Job& job, Time now) const;  // of its tasks, under this leader
+  void log_when_all_run(Job& job, Time now);
   void vacate(Machine& m, Placement& p, Time now, const char* why);
   void give_back(Machine& m, const Placement& p, Time now);
   void sweep(Machine& m);
@@ -258,6 +262,10 @@
   std::uint64_t changes_ = 0;
   bool stale_ = true;
   RoundWork work_;
+  struct TaskCounts {
+    std::size_t placed = 0, began = 0, ended = 0, completed = 0;
+  };
+  TaskCounts task_counts_;  // since the last line that told them
   load::ServiceRecord served_;
 };
 
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -164,6 +164,7 @@
   setup.old_leader_until = old_grace.count() > 0 ? acquired + old_grace + ctx_.policy.margin : acquired;
   setup.spans = ctx_.level >= wire::this_level;
   setup.legacy_size = ctx_.legacy_size;
+  setup.log_tasks = ctx_.log->should_log(spdlog::level::debug);
   setup.hires_in_line = static_cast<std::size_t>(std::max(4.0, ctx_.settings.cloud_rps * longest_hire_line_s));
   return setup;
 }
--- a/tests/region/region.cpp
+++ b/tests/region/region.cpp
@@ -140,6 +140,7 @@
   Policy policy;
   policy.relay_reports = options_.relay;
   auto log = std::make_shared<spdlog::logger>(n.name, std::make_shared<LogSink>(n.log, now_));
+  log->set_level(spdlog::level::debug);  // tests look for what becomes of single tasks
   n.process->node = std::make_unique<service::Node>(n.process->loop, settings_of(c), policy, log);
   n.process->node->start();
 }
--- a/tools/served.py
+++ b/tools/served.py
@@ -3,13 +3,13 @@
 
     tools/served.py LOG... [--from S] [--until S] [--report FILE] [--json]
 
-LOG: what the controllers wrote, `LOG_LEVEL=info`, one file or several; lines may begin with seconds and a node's name, else
+LOG: what the controllers wrote, `LOG_LEVEL=info` or `debug`, one file or several; lines may begin with seconds and a node's name, else
 the time in the line counts. Jobs taken from --from to --until are counted, in seconds since the first line (default: all).
 --report: a run's report (JSON with `targets`); what it says of each class by its loosest aim is told beside, since users
 count from their first attempt and the log from the moment when a job was taken.
 
 Columns: jobs taken; started (all tasks ran once); done; done within 1 and 1.5 times the deadline, of those that have one;
-median and 95th of the wait until all tasks ran, s; GPU-seconds run; served: the least of started, done and done within 1.5
+median and 95th of the wait until all tasks ran, s; GPU-seconds run (at `info` those of jobs that ended, at `debug` of all); served: the least of started, done and done within 1.5
 times the deadline. Less than half served is marked, and ends the program with 1; unreadable input with 2.
 """
 import argparse
@@ -21,7 +21,8 @@
 
 LINE = re.compile(r"^\s*(?:([\d.]+)\s+(\S+)\s+)?(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d+)\S*\s+\S+\s+(.*)$")
 TAKEN = re.compile(r"job (\S+) taken: (\d+) tasks of (\S+), team (\S+), ([\d.]+) GPUs each, estimated ([\d.]+) s(?:, due in ([\d.]+) s)?")
-DONE = re.compile(r"job (\S+) done after ([\d.]+) s")
+DONE = re.compile(r"job (\S+) done after ([\d.]+) s(?:, its tasks ran ([\d.]+) s)?")
+ALL_RUN = re.compile(r"job (\S+) runs: all \d+ tasks began within ([\d.]+) s")
 RUNS = re.compile(r"task (\S+)/(\d+) runs on ")
 OFF = re.compile(r"task (\S+)/(\d+) (?:ended on|is off)")
 HALF = 0.5
@@ -45,6 +46,17 @@
         if self.started_s is None and len(self.ran) == self.tasks:
             self.started_s = at - self.at
 
+    def all_run(self, waited_s):
+        if self.started_s is None:
+            self.started_s = waited_s
+
+    def ended(self, after_s, ran_s):
+        self.done_s = after_s
+        if self.started_s is None:  # its last start was told by a leader whose log is not here
+            self.started_s = after_s
+        if ran_s is not None and not self.ran:  # its tasks are not told one by one
+            self.gpu_s = ran_s * self.gpus
+
     def off(self, index, at):
         began = self.running.pop(index, None)
         if began is not None:
@@ -71,12 +83,12 @@
         elif t := OFF.match(text):
             if t[1] in jobs:
                 jobs[t[1]].off(int(t[2]), at)
+        elif t := ALL_RUN.match(text):
+            if t[1] in jobs:
+                jobs[t[1]].all_run(float(t[2]))
         elif t := DONE.match(text):
             if t[1] in jobs and jobs[t[1]].done_s is None:
-                job = jobs[t[1]]
-                job.done_s = float(t[2])
-                if job.started_s is None:  # its last start was told by a leader whose log is not here
-                    job.started_s = job.done_s
+                jobs[t[1]].ended(float(t[2]), float(t[3]) if t[3] else None)
 
 
 def quantile(values, q):
--- a/tools/served_test.py
+++ b/tools/served_test.py
@@ -22,6 +22,14 @@
 """
 
 
+# What is written at `info`: no line a task.
+INFO_LOG = """\
+   10.0 stall-1 2026-09-21T14:13:30.476 info job job-000001 taken: 2 tasks of scan, team red, 1.500000 GPUs each, estimated 30.0 s, due in 70.0 s
+   30.0 stall-1 2026-09-21T14:13:50.476 info job job-000001 runs: all 2 tasks began within 20.0 s
+  101.0 stall-1 2026-09-21T14:15:01.476 info job job-000001 done after 91.0 s, its tasks ran 119.0 s
+"""
+
+
 def run(*argv):
     out = io.StringIO()
     with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
@@ -58,6 +66,13 @@
         self.assertEqual(0.0, rows["scan", "blue"]["served"])
         self.assertEqual(1, code, "a pair of which nothing is served ends the program with 1")
 
+    def test_jobs_whose_tasks_are_not_told_one_by_one(self):
+        code, out = run(self.file("info", INFO_LOG), "--json")
+        self.assertEqual(0, code)
+        scan = {(r["class"], r["team"]): r for r in json.loads(out)["rows"]}["scan", "red"]
+        self.assertEqual((1.0, 1.0, 20.0), (scan["started"], scan["done"], scan["wait_median_s"]))
+        self.assertEqual(119 * 1.5, scan["gpu_s"])
+
     def test_only_jobs_of_the_time_asked_for_count(self):
         code, rows = self.rows("--until", "10.5")
         self.assertEqual(0, code)
