The models of worker, store and judge become a package without I/O, stand_ins/

The judge keeps its sums up to date instead of adding all tasks at each start, and judges limits that change, invented and nothing_ran. Tests: a planted breach of each rule is found.

--- a/tests/region/rules.cpp
+++ b/stand_ins/rules.cpp
@@ -1,8 +1,8 @@
-#include "rules.hpp"
+#include "stand_ins/rules.hpp"
 
 #include <algorithm>
 
-namespace martenwall::region {
+namespace martenwall::stand_ins {
 
 namespace {
 constexpr Duration longest_unanswered = seconds(75);
@@ -31,55 +31,78 @@
 }
 
 // Given the job's other tasks at this moment.
-void Rules::check_place(const TaskId& task, const std::string& zone, bool spot, Time now) {
+void Rules::check_place(const TaskId& task, const Place& place, Time now) {
   const auto& spec = works_.at(task.job).spec;
   const auto wrong = [&](const char* what) {
     breach(std::string{"wrong_place: "} + what + " " + to_string(task), now);
   };
-  if (spot && !spec.spot) wrong("spot");
-  if (spec.zone && *spec.zone != zone) wrong("zone");
-  if (spec.types && std::ranges::find(*spec.types, "big") == spec.types->end()) wrong("type");
+  if (place.spot && !spec.spot) wrong("spot");
+  if (spec.zone && *spec.zone != place.zone) wrong("zone");
+  if (spec.types && std::ranges::find(*spec.types, place.type) == spec.types->end()) wrong("type");
+  if (!spec.one_zone && !spec.spread) return;
   std::uint32_t in_zone = 1;
-  for (const auto& [o, at] : on_) {
-    if (o.task.job != task.job) continue;
-    if (spec.one_zone && at != zone) wrong("two zones");
-    if (at == zone && o.task != task) ++in_zone;
+  for (const auto& [index, holders] : on_[task.job]) {
+    for (const auto& [machine, zone] : holders) {
+      if (spec.one_zone && zone != place.zone) wrong("two zones");
+      if (zone == place.zone && index != task.index) ++in_zone;
+    }
   }
   if (spec.spread && in_zone > (spec.tasks + 1) / 2) wrong("more than half in one zone");
 }
 
 Resources Rules::used_by(const std::string& team) const {
-  Resources used;
-  for (const auto& [o, at] : on_) {
-    const auto& spec = works_.at(o.task.job).spec;
-    if (spec.team == team) used.add(spec.need);
-  }
-  return used;
+  const auto it = used_.find(team);
+  return it == used_.end() ? Resources{} : it->second;
 }
 
 // A limit of 0 is none.
-void Rules::check_limits(Time now) {
-  for (const auto& team : teams_) {
-    const auto used = used_by(team.name);
-    const bool gpus = team.limit.gpus > 0 && used.gpus > team.limit.gpus + 1e-6;
-    const bool cpus = team.limit.cpus > 0 && used.cpus > team.limit.cpus + 1e-6;
-    if (gpus || cpus) breach("quota " + team.name, now);
-  }
+bool Rules::within(const Resources& limit, const Resources& used) const {
+  constexpr double slack = 1e-6;
+  return (limit.gpus <= 0 || used.gpus <= limit.gpus + slack) && (limit.cpus <= 0 || used.cpus <= limit.cpus + slack);
+}
+
+// Any of the limits that a start may still go by allows it. A team that is not named may use nothing.
+void Rules::check_limit(const std::string& team, Time now) {
+  std::erase_if(limits_, [&](const Limits& l) { return l.until < now; });
+  const auto allows = [&](const Limits& l) {
+    const auto it = std::ranges::find(l.teams, team, &Team::name);
+    return it != l.teams.end() && within(it->limit, used_by(team));
+  };
+  if (std::ranges::none_of(limits_, allows)) breach("quota " + team, now);
+}
+
+void Rules::change_limits(std::vector<Team> teams, Time now, Duration in_force) {
+  for (auto& l : limits_) l.until = std::min(l.until, now + in_force);
+  limits_.push_back({std::move(teams)});
 }
 
-void Rules::starts(const TaskId& task, const MachineId& on, const std::string& zone, bool spot, Time now) {
+void Rules::starts(const TaskId& task, const Place& place, Time now) {
   ++started_;
-  const auto& w = works_.at(task.job);
+  auto& w = works_.at(task.job);
   if (w.told_cancelled) ++started_after_cancel_;
   for (const auto& id : w.spec.awaits) {
     if (works_.at(id).completed.size() != works_.at(id).spec.tasks) breach("too early " + to_string(task), now);
   }
-  for (const auto& [o, at] : on_) {
-    if (o.task == task) breach("ran_twice " + to_string(task) + " on " + o.machine.value() + " and " + on.value(), now);
+  auto& holders = on_[task.job][task.index];
+  for (const auto& [machine, zone] : holders) {
+    breach("ran_twice " + to_string(task) + " on " + machine.value() + " and " + place.machine.value(), now);
+  }
+  check_place(task, place, now);
+  if (w.spec.shape == Shape::array && !w.begun && w.begun_tasks.insert(task.index).second &&
+      w.begun_tasks.size() == w.spec.tasks) {
+    w.begun = now;
+    w.begun_tasks.clear();
   }
-  check_place(task, zone, spot, now);
-  on_.emplace(On{task, on}, zone);
-  check_limits(now);
+  if (holders.emplace(place.machine, place.zone).second) used_[w.spec.team].add(w.spec.need);
+  check_limit(w.spec.team, now);
+  if (w.told_cancelled && now - *w.told_cancelled > seconds(terms_.cancel_s)) {
+    breach("ran_cancelled " + to_string(task) + " starts on " + place.machine.value(), now);
+  }
+}
+
+void Rules::gang_runs(const JobId& job, Time now) {
+  auto& w = works_.at(job);
+  if (!w.begun) w.begun = now;
 }
 
 void Rules::completes(const TaskId& task) {
@@ -90,20 +113,20 @@
 
 std::set<std::uint32_t> Rules::on_machines(const JobId& id) const {
   std::set<std::uint32_t> out;
-  for (const auto& [o, at] : on_) {
-    if (o.task.job == id) out.insert(o.task.index);
-  }
+  const auto it = on_.find(id);
+  if (it == on_.end()) return out;
+  for (const auto& [index, holders] : it->second) out.insert(index);
   return out;
 }
 
 bool Rules::within_limit(const JobId& id, std::uint32_t more_tasks) const {
   const auto& spec = works_.at(id).spec;
-  const auto team = std::ranges::find(teams_, spec.team, &Team::name);
-  if (team == teams_.end()) return false;
+  const auto& teams = limits_.back().teams;
+  const auto team = std::ranges::find(teams, spec.team, &Team::name);
+  if (team == teams.end()) return false;
   auto used = used_by(spec.team);
   used.add(spec.need, more_tasks);
-  return (team->limit.gpus <= 0 || used.gpus <= team->limit.gpus + 1e-6) &&
-         (team->limit.cpus <= 0 || used.cpus <= team->limit.cpus + 1e-6);
+  return within(team->limit, used);
 }
 
 void Rules::waits_beside_room(const JobId& id, bool so, Time now) {
@@ -115,7 +138,16 @@
   w.beside_room = now;
 }
 
-void Rules::leaves(const TaskId& task, const MachineId& on) { on_.erase(On{task, on}); }
+void Rules::leaves(const TaskId& task, const MachineId& on) {
+  const auto job = on_.find(task.job);
+  if (job == on_.end()) return;
+  const auto holders = job->second.find(task.index);
+  if (holders == job->second.end() || holders->second.erase(on) == 0) return;
+  const auto& spec = works_.at(task.job).spec;
+  used_[spec.team].add(spec.need, -1);
+  if (holders->second.empty()) job->second.erase(holders);
+  if (job->second.empty()) on_.erase(job);
+}
 
 // Its own user, or that of a job that it awaits, directly or through others.
 bool Rules::asked_to_cancel(const JobId& id) const {
@@ -158,11 +190,20 @@
   if (w.accepted && sent > w.heard_accepted) breach("forgotten " + id.value() + ": " + std::to_string(status), now);
 }
 
+void Rules::told_of_unknown(const JobId& id, Time now) { breach("invented " + id.value(), now); }
+
+void Rules::finish(Time now) {
+  if (started_ == 0) breach("nothing_ran", now);
+}
+
 void Rules::tick(Time now) {
-  for (const auto& [o, zone] : on_) {
-    const auto& w = works_.at(o.task.job);
-    if (w.told_cancelled && now - *w.told_cancelled > seconds(terms_.cancel_s)) {
-      breach("ran_cancelled " + to_string(o.task) + " on " + o.machine.value(), now);
+  for (const auto& [id, tasks] : on_) {
+    const auto& w = works_.at(id);
+    if (!w.told_cancelled || now - *w.told_cancelled <= seconds(terms_.cancel_s)) continue;
+    for (const auto& [index, holders] : tasks) {
+      for (const auto& [machine, zone] : holders) {
+        breach("ran_cancelled " + to_string(TaskId{id, index}) + " on " + machine.value(), now);
+      }
     }
   }
   if (!calm_since_) return;
@@ -177,4 +218,4 @@
   }
 }
 
-}  // namespace martenwall::region
+}  // namespace martenwall::stand_ins
--- a/tests/region/rules.hpp
+++ b/stand_ins/rules.hpp
@@ -1,4 +1,5 @@
-// What is true in the region, and PROTOCOL's rules on it. Written from PROTOCOL alone: of the core it uses types.
+// What is true of jobs and tasks as workers and users see it, and PROTOCOL's rules on it. Written from PROTOCOL alone:
+// of the core it uses types. Sums are kept up to date, so that a start costs the same whatever the size of the fleet.
 #pragma once
 #include <cstdint>
 #include <functional>
@@ -11,7 +12,7 @@
 #include "core/model.hpp"
 #include "core/policy.hpp"
 
-namespace martenwall::region {
+namespace martenwall::stand_ins {
 
 // Which of a user's sending and hearing came first. Much happens in one moment of virtual time: times do not tell.
 using Ordinal = std::uint64_t;
@@ -19,32 +20,48 @@
 // A job as its user knows it.
 struct Work {
   JobSpec spec;
-  double run_s = 10;                  // of its first task
-  double stagger_s = 0;               // each further one takes so much longer
-  std::set<std::uint32_t> completed;  // tasks
+  double run_s = 10;                    // of its first task
+  double stagger_s = 0;                 // each further one takes so much longer
+  std::set<std::uint32_t> completed;    // tasks
+  std::set<std::uint32_t> begun_tasks;  // of an array: ran once
   Time submitted{};
   std::optional<Time> accepted, cancel_asked, told_done, told_cancelled;
   Ordinal heard_accepted = 0, heard_end = 0;
   Time answered{};                  // the last answer to any question about it
   std::optional<Time> beside_room;  // waits since then, and could have begun
+  std::optional<Time> begun;        // all its tasks ran, or of a gang run
+};
+
+// Where a task starts.
+struct Place {
+  MachineId machine;
+  std::string type, zone;
+  bool spot = false;
 };
 
 class Rules {
  public:
-  Rules(WorkerTerms terms, std::vector<Team> teams) : terms_(terms), teams_(std::move(teams)) {}
+  Rules(WorkerTerms terms, std::vector<Team> teams) : terms_(terms), limits_{{std::move(teams)}} {}
   Work& add(JobSpec spec, double run_s, Time now);
   [[nodiscard]] const Work& work(const JobId& id) const { return works_.at(id); }
   [[nodiscard]] std::map<JobId, Work>& works() { return works_; }
   [[nodiscard]] const std::map<JobId, Work>& works() const { return works_; }
   [[nodiscard]] const Work* find(const JobId& id) const;
 
-  void starts(const TaskId& task, const MachineId& on, const std::string& zone, bool spot, Time now);
+  void starts(const TaskId& task, const Place& place, Time now);
   void leaves(const TaskId& task, const MachineId& on);
+  void gang_runs(const JobId& job, Time now);
   void completes(const TaskId& task);
   [[nodiscard]] Ordinal sends() { return ++order_; }
   // A user's answer to a request that was sent then; `phase` as PROTOCOL names it.
   void told(const JobId& id, const std::string& phase, Ordinal sent, Time now);
   void refused_forever(const JobId& id, int status, Ordinal sent, Time now);
+  // 200 for a job that nobody submitted.
+  void told_of_unknown(const JobId& id, Time now);
+  // From `now` on these limits are asked for; a start may go by the ones before for `in_force`.
+  void change_limits(std::vector<Team> teams, Time now, Duration in_force);
+  // The day is over.
+  void finish(Time now);
   // With troubles over: whether it waits although a machine that fits has room and its team is under its limit.
   void waits_beside_room(const JobId& id, bool so, Time now);
   [[nodiscard]] bool calm() const { return calm_since_.has_value(); }
@@ -66,22 +83,24 @@
  private:
   [[nodiscard]] bool asked_to_cancel(const JobId& id) const;
   void breach(const std::string& what, Time now);
-  void check_place(const TaskId& task, const std::string& zone, bool spot, Time now);
-  void check_limits(Time now);
+  void check_place(const TaskId& task, const Place& place, Time now);
+  void check_limit(const std::string& team, Time now);
+  [[nodiscard]] bool within(const Resources& limit, const Resources& used) const;
   [[nodiscard]] Resources used_by(const std::string& team) const;
-  struct On {
-    TaskId task;
-    MachineId machine;
-    auto operator<=>(const On&) const = default;
+  struct Limits {
+    std::vector<Team> teams;
+    Time until = Time::max();  // a start may go by them
   };
+  using Holders = std::map<MachineId, std::string>;  // with their zones
   WorkerTerms terms_;
-  std::vector<Team> teams_;
+  std::vector<Limits> limits_;  // the newest last
   std::map<JobId, Work> works_;
-  std::map<On, std::string> on_;  // the machine's zone
+  std::map<JobId, std::map<std::uint32_t, Holders>> on_;  // tasks on machines
+  std::map<std::string, Resources> used_;                 // by team
   std::optional<Time> calm_since_;
   std::vector<std::string> breaches_;
   Ordinal order_ = 0;
   std::size_t started_ = 0, started_after_cancel_ = 0;
 };
 
-}  // namespace martenwall::region
+}  // namespace martenwall::stand_ins
--- /dev/null
+++ b/stand_ins/worker_model.hpp
@@ -0,0 +1,122 @@
+// A machine's worker as PROTOCOL describes it: sessions, tokens, tasks, images and commands. No I/O and no clock:
+// whoever owns it carries its reports to a controller and hands it what comes back.
+#pragma once
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "stand_ins/rules.hpp"
+
+namespace martenwall::stand_ins {
+
+// What a machine is.
+struct MachineTraits {
+  MachineId id;
+  std::string endpoint, type, zone;
+  bool spot = false;
+  Resources room;
+  double cache_gb = 0;  // of images; 0: none is kept, each task fetches its own
+};
+
+// What workers share.
+struct WorkerWorld {
+  Rules& rules;
+  WorkerTerms terms;
+  std::function<double(const JobSpec&)> fetch_s;  // how long the image of such a job takes to come, drawn anew
+};
+
+// The images of one machine: fetched once for all tasks that wait, the most recently used ones kept.
+class ImageCache {
+ public:
+  explicit ImageCache(double most_gb) : most_gb_(most_gb) {}
+  // When the image is there; `fetch` is the time of a fetch that has to begin now.
+  Time ready_at(const JobSpec& spec, Time now, const std::function<Duration()>& fetch);
+  void give_up(const std::string& image, Time now);  // no task waits for it any more
+  void clear() { images_.clear(); }
+
+ private:
+  struct Image {
+    std::string name;
+    double gb = 0;
+    Time ready{};
+  };
+  double most_gb_;
+  std::vector<Image> images_;  // most recently used first
+};
+
+class WorkerModel {
+ public:
+  WorkerModel(WorkerWorld& world, MachineTraits traits, Time boots);
+  void tick(Time now, bool hangs);  // tasks, and the end of its lease; a machine that hangs only loses its lease
+  void take_away();                 // the machine and all that is on it are gone
+  void restart(Time now);           // the same machine anew: all tasks gone, the next session
+
+  // The body of a report, or of an answer to a command.
+  [[nodiscard]] std::string report();
+  // A controller's answer with 200 to a report of that session, sent then; false where it is dropped.
+  bool take_answer(const nlohmann::json& body, std::uint64_t session, Time sent, Time now);
+  struct Reply {
+    int status = 200;
+    std::string body;
+    bool executed = false;
+  };
+  Reply commands(const nlohmann::json& body, Time now);
+  // Something changed since the last call that is worth a report.
+  [[nodiscard]] bool changed() const { return changed_; }
+  void reported() { changed_ = false; }
+
+  [[nodiscard]] const MachineTraits& traits() const { return traits_; }
+  void set_endpoint(std::string endpoint) { traits_.endpoint = std::move(endpoint); }
+  [[nodiscard]] bool up(Time now) const { return !gone_ && now >= boots_; }
+  [[nodiscard]] bool gone() const { return gone_; }
+  [[nodiscard]] bool busy() const;
+  [[nodiscard]] Resources free() const;
+  [[nodiscard]] bool has(const JobId& job) const;  // a task of it, in any state but ended
+  [[nodiscard]] std::uint64_t session() const { return session_; }
+  [[nodiscard]] std::uint64_t token() const { return token_; }
+  [[nodiscard]] std::size_t lost_to_lease() const { return lost_to_lease_; }  // tasks
+
+ private:
+  enum class Phase { fetching, gathering, running, saving, ended };
+  struct OnMachine {
+    Phase phase = Phase::fetching;
+    std::string cause;
+    bool saved = false;
+    Time since{}, until{};
+    std::optional<Time> peer_lost;
+  };
+  using Key = std::pair<TaskId, std::uint64_t>;  // with the attempt
+  static const char* name_of(Phase phase);
+  void execute(const nlohmann::json& orders, Time now);
+  void begin_task(const Key& key, Time now);
+  void stop_task(OnMachine& task, const Key& key, double grace_s, Time now);
+  void end_task(OnMachine& task, const Key& key, const char* cause, Time now);
+  void step_task(const Key& key, OnMachine& task, Time now);
+  void forget_all();
+  [[nodiscard]] const JobSpec& spec_of(const Key& key) const { return world_.rules.work(key.first.job).spec; }
+  friend class Gangs;
+
+  WorkerWorld& world_;
+  MachineTraits traits_;
+  Time boots_;
+  bool gone_ = false;
+  std::uint64_t session_ = 1, tick_ = 0, token_ = 0;
+  Time last_ok_{};
+  bool changed_ = false;
+  ImageCache images_;
+  std::map<Key, OnMachine> tasks_;
+  std::size_t gang_tasks_ = 0;  // not ended
+  std::size_t lost_to_lease_ = 0;
+};
+
+// The tasks of a gang find one another by their attempt, wherever they are.
+class Gangs {
+ public:
+  // `workers`: all that are up and do not hang.
+  static void step(const std::vector<WorkerModel*>& workers, Time now);
+};
+
+}  // namespace martenwall::stand_ins
--- a/tests/region/region.cpp
+++ b/tests/region/region.cpp
@@ -49,7 +49,12 @@
       loop_([this] { return now_; }),
       store_(loop_, seed),
       rules_(options.terms, {{"red", {0, 16, 0}, {0, options.team_gpus, 0}}}),
-      environment_{loop_, rules_, options.terms, {}, {}, [this] { return roll(); }},
+      environment_{loop_,
+                   {rules_, options.terms,
+                    [this](const JobSpec&) { return environment_.fetch_s + environment_.fetch_more_s * roll(); }},
+                   {},
+                   {},
+                   [this] { return roll(); }},
       cloud_(loop_, anywhere(), {}, [this](rt::HttpMessage m) { return cloud(std::move(m)); }),
       client_(loop_, 10000, 1024 * 1024, 0),
       controllers_(options.controllers) {
@@ -225,7 +230,11 @@
   for (;;) {
     store_.tick();
     for (auto& w : workers_) w->tick();
-    Gangs::step(workers_);
+    std::vector<stand_ins::WorkerModel*> awake;
+    for (auto& w : workers_) {
+      if (w->up() && !w->hangs()) awake.push_back(&w->model());
+    }
+    stand_ins::Gangs::step(awake, now_);
     rules_.tick(now_);
     watch_leader();
     if (rules_.calm()) watch_waiting();
--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -9,7 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "rules.hpp"
 #include "service/node.hpp"
 #include "store.hpp"
 #include "worker.hpp"
--- a/tests/region/worker.hpp
+++ b/tests/region/worker.hpp
@@ -1,23 +1,24 @@
-// Stand-in for a machine's worker: reports, leases, tokens, sessions and tasks as PROTOCOL describes them.
+// The region's workers: the stand-in's model of a machine behind HTTP, with what goes wrong on the way.
 #pragma once
 #include <functional>
-#include <map>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <string>
 #include <vector>
 
-#include "rules.hpp"
 #include "runtime/http_client.hpp"
 #include "runtime/http_server.hpp"
+#include "stand_ins/worker_model.hpp"
 
 namespace martenwall::region {
 
+using stand_ins::Ordinal;
+using stand_ins::Rules;
+using stand_ins::Work;
+
 // What a worker needs of the region.
 struct Environment {
   rt::Loop& loop;
-  Rules& rules;
-  WorkerTerms terms;
+  stand_ins::WorkerWorld world;
   std::vector<std::string> controllers;                            // names
   std::function<std::optional<std::string>(std::size_t)> address;  // of a controller; nothing: refused
   std::function<double()> roll;                                    // 0 to 1
@@ -32,25 +33,27 @@
 class Worker {
  public:
   Worker(Environment& environment, MachineId id, std::string zone, bool spot, Time boots);
-  void run();   // its loops
-  void tick();  // tasks, and the end of its lease
-  void take_away();
+  void run();                                                     // its loops
+  void tick() { model_.tick(environment_.loop.now(), hangs()); }  // tasks, and the end of its lease
+  void take_away() { model_.take_away(); }
 
-  [[nodiscard]] const MachineId& id() const { return id_; }
-  [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(server_.port()); }
-  [[nodiscard]] const std::string& zone() const { return zone_; }
-  [[nodiscard]] bool spot() const { return spot_; }
-  [[nodiscard]] bool up() const;
-  [[nodiscard]] bool gone() const { return gone_; }
+  [[nodiscard]] stand_ins::WorkerModel& model() { return model_; }
+  [[nodiscard]] const MachineId& id() const { return model_.traits().id; }
+  [[nodiscard]] const std::string& endpoint() const { return model_.traits().endpoint; }
+  [[nodiscard]] const std::string& zone() const { return model_.traits().zone; }
+  [[nodiscard]] bool spot() const { return model_.traits().spot; }
+  [[nodiscard]] bool up() const { return model_.up(environment_.loop.now()); }
+  [[nodiscard]] bool gone() const { return model_.gone(); }
   // Tokens of the answers that renewed its lease, and when.
   [[nodiscard]] const std::vector<std::pair<Time, std::uint64_t>>& renewals() const { return renewals_; }
-  [[nodiscard]] bool busy() const;
-  [[nodiscard]] double free_gpus() const;
-  [[nodiscard]] std::uint64_t token() const { return token_; }
+  [[nodiscard]] bool busy() const { return model_.busy(); }
+  [[nodiscard]] double free_gpus() const { return model_.free().gpus; }
+  [[nodiscard]] std::uint64_t token() const { return model_.token(); }
   // Nothing is wrong with it, so that work may be expected to begin there.
   [[nodiscard]] bool sound() const;
-  [[nodiscard]] bool has(const JobId& job) const;                             // a task of it, in any state but ended
+  [[nodiscard]] bool has(const JobId& job) const { return model_.has(job); }
   [[nodiscard]] std::size_t executed_late() const { return executed_late_; }  // commands, after their sender gave up
+  [[nodiscard]] bool hangs() const { return environment_.loop.now() < hangs_until_; }
 
   void go_deaf(Duration time) { deaf_until_ = environment_.loop.now() + time; }  // answers and commands are lost
   void hang(Duration time) { hangs_until_ = environment_.loop.now() + time; }    // commands wait meanwhile
@@ -66,53 +69,23 @@
   void hold_next_start(Duration time) { hold_start_ = time; }
 
  private:
-  struct OnMachine {
-    std::string phase = "fetching", cause;
-    bool saved = false;
-    Time since{}, until{};
-    std::optional<Time> peer_lost;
-  };
-  using Key = std::pair<TaskId, std::uint64_t>;  // with the attempt
   rt::Task<void> report_loop();
   rt::Task<void> send_late(std::string body);
   rt::Task<rt::HttpResponse> serve(rt::HttpMessage request);
   void take_answer(const rt::HttpResult& result, Time sent, std::uint64_t session);
-  void execute(const nlohmann::json& orders);
-  void begin_task(const Key& key);
-  void stop_task(OnMachine& t, const Key& key, double grace_s);
-  void end_task(OnMachine& t, const Key& key, const char* cause);
-  void step_task(const Key& key, OnMachine& t);
-  [[nodiscard]] std::string report();
   [[nodiscard]] std::string address() const;  // of the controller that it reports to; empty: not reached
   [[nodiscard]] bool kept() const { return environment_.loop.now() < kept_until_; }
-  [[nodiscard]] bool hangs() const { return environment_.loop.now() < hangs_until_; }
-  [[nodiscard]] std::size_t gang_members(const Key& of, const char* phase) const;
-  void change() { changed_ = true; }
-  friend class Gangs;
 
   Environment& environment_;
-  MachineId id_;
-  std::string zone_;
-  bool spot_;
-  Time boots_;
-  bool gone_ = false;
-  std::uint64_t session_ = 1, tick_ = 0, token_ = 0;
-  Time last_ok_{}, next_report_{}, last_report_{};
+  stand_ins::WorkerModel model_;
+  Time next_report_{}, last_report_{};
   Time deaf_until_{}, hangs_until_{}, cut_until_{};
   std::optional<Duration> hold_start_;
   Time kept_until_{}, silent_until_{};
   std::size_t target_ = 0, kept_ = 0, executed_late_ = 0;
-  bool changed_ = false;
-  std::map<Key, OnMachine> tasks_;
   std::vector<std::pair<Time, std::uint64_t>> renewals_;
   rt::HttpClient client_;
   rt::HttpServer server_;
 };
 
-// The tasks of a gang find one another by their attempt, wherever they are.
-class Gangs {
- public:
-  static void step(std::vector<std::unique_ptr<Worker>>& workers);
-};
-
 }  // namespace martenwall::region
--- /dev/null
+++ b/tests/stand_ins_test.cpp
@@ -0,0 +1,214 @@
+// The stand-ins judge the service, so they are judged here: a planted breach of each of PROTOCOL's rules is found, and
+// the models keep PROTOCOL's words.
+#include <gtest/gtest.h>
+
+#include "stand_ins/rules.hpp"
+#include "stand_ins/store_model.hpp"
+#include "stand_ins/worker_model.hpp"
+
+namespace martenwall::stand_ins {
+namespace {
+
+using nlohmann::json;
+
+constexpr WorkerTerms terms{2, 10, 30, 3, 24};
+const JobId job{"job-000001"};
+
+Time at(double s) { return Time{seconds(100 + s)}; }
+Place place(const std::string& machine, const std::string& zone = "a", const std::string& type = "big") {
+  return {MachineId{machine}, type, zone, false};
+}
+
+struct Judge {
+  Rules rules{terms, {{"red", {}, {0, 4, 0}}}};
+  explicit Judge(const std::function<void(JobSpec&)>& change = [](JobSpec&) {}) {
+    JobSpec spec;
+    spec.id = job;
+    spec.team = "red";
+    spec.tasks = 4;
+    spec.need = {1, 1, 8};
+    change(spec);
+    rules.add(spec, 10, at(0));
+    rules.told(job, "pending", rules.sends(), at(0));
+  }
+  void start(std::uint32_t index, const Place& where, double when = 1) { rules.starts({job, index}, where, at(when)); }
+  // The first breach's name.
+  [[nodiscard]] std::string found() const {
+    if (rules.breaches().empty()) return "";
+    const auto& line = rules.breaches().front();
+    const auto name = line.substr(line.find(' ') + 1);
+    return name.substr(0, name.find_first_of(" :"));
+  }
+};
+
+TEST(judge, finds_nothing_where_nothing_is_wrong) {
+  Judge j;
+  for (std::uint32_t i = 0; i < 4; ++i) j.start(i, place("i-1"));
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    j.rules.completes({job, i});
+    j.rules.leaves({job, i}, MachineId{"i-1"});
+  }
+  j.rules.told(job, "done", j.rules.sends(), at(20));
+  j.rules.told(job, "done", j.rules.sends(), at(30));
+  j.rules.finish(at(40));
+  EXPECT_EQ("", j.found());
+}
+
+TEST(judge, ran_twice) {
+  Judge j;
+  j.start(0, place("i-1"));
+  j.start(0, place("i-2"));
+  EXPECT_EQ("ran_twice", j.found());
+}
+
+TEST(judge, quota) {
+  Judge j{[](JobSpec& s) { s.need.gpus = 2; }};
+  for (std::uint32_t i = 0; i < 2; ++i) j.start(i, place("i-1"));
+  EXPECT_EQ("", j.found());
+  j.start(2, place("i-1"));
+  EXPECT_EQ("quota", j.found());
+}
+
+TEST(judge, quota_by_the_limits_in_force) {
+  Judge j;
+  j.rules.change_limits({{"red", {}, {0, 1, 0}}}, at(10), seconds(8));
+  j.start(0, place("i-1"), 11);
+  j.start(1, place("i-1"), 17.9);
+  EXPECT_EQ("", j.found()) << "the limits of before may still be gone by";
+  j.start(2, place("i-1"), 18.1);
+  EXPECT_EQ("quota", j.found());
+}
+
+TEST(judge, quota_of_a_team_that_was_removed) {
+  Judge j;
+  j.rules.change_limits({}, at(10), seconds(8));
+  j.start(0, place("i-1"), 18.1);
+  EXPECT_EQ("quota", j.found());
+}
+
+TEST(judge, wrong_place) {
+  Judge type{[](JobSpec& s) { s.types = {"small"}; }};
+  type.start(0, place("i-1"));
+  EXPECT_EQ("wrong_place", type.found());
+  Judge zone{[](JobSpec& s) { s.zone = "b"; }};
+  zone.start(0, place("i-1"));
+  EXPECT_EQ("wrong_place", zone.found());
+  Judge together{[](JobSpec& s) { s.one_zone = true; }};
+  together.start(0, place("i-1"));
+  together.start(1, place("i-2", "b"));
+  EXPECT_EQ("wrong_place", together.found());
+  Judge spread{[](JobSpec& s) { s.spread = true; }};
+  for (std::uint32_t i = 0; i < 2; ++i) spread.start(i, place("i-1"));
+  EXPECT_EQ("", spread.found());
+  spread.start(2, place("i-1"));
+  EXPECT_EQ("wrong_place", spread.found());
+  Judge spot;
+  spot.rules.starts({job, 0}, {MachineId{"i-1"}, "big", "a", true}, at(1));
+  EXPECT_EQ("wrong_place", spot.found());
+}
+
+TEST(judge, ran_cancelled) {
+  Judge j;
+  j.start(0, place("i-1"));
+  j.rules.works().at(job).cancel_asked = at(2);
+  j.rules.told(job, "withdrawn", j.rules.sends(), at(2));
+  j.rules.tick(at(2 + terms.cancel_s));
+  EXPECT_EQ("", j.found());
+  j.rules.tick(at(2 + terms.cancel_s + 0.1));
+  EXPECT_EQ("ran_cancelled", j.found());
+  Judge late;
+  late.rules.works().at(job).cancel_asked = at(2);
+  late.rules.told(job, "withdrawn", late.rules.sends(), at(2));
+  late.start(0, place("i-1"), 2 + terms.cancel_s + 0.1);
+  EXPECT_EQ("ran_cancelled", late.found());
+}
+
+TEST(judge, forgotten) {
+  for (const int status : {404, 400, 422}) {
+    Judge j;
+    j.rules.refused_forever(job, status, j.rules.sends(), at(1));
+    EXPECT_EQ("forgotten", j.found());
+  }
+  Judge unanswered;
+  unanswered.rules.all_troubles_over(at(5));
+  unanswered.rules.tick(at(79));
+  EXPECT_EQ("", unanswered.found());
+  unanswered.rules.tick(at(81));
+  EXPECT_EQ("forgotten", unanswered.found());
+}
+
+TEST(judge, invented_not_done_went_back_nothing_ran) {
+  Judge invented;
+  invented.rules.told_of_unknown(JobId{"job-000009"}, at(1));
+  EXPECT_EQ("invented", invented.found());
+  Judge not_done;
+  not_done.rules.told(job, "done", not_done.rules.sends(), at(1));
+  EXPECT_EQ("not_done", not_done.found());
+  Judge cancelled_by_no_one;
+  cancelled_by_no_one.rules.told(job, "withdrawn", cancelled_by_no_one.rules.sends(), at(1));
+  EXPECT_EQ("went_back", cancelled_by_no_one.found());
+  Judge went_back;
+  for (std::uint32_t i = 0; i < 4; ++i) went_back.rules.completes({job, i});
+  went_back.rules.told(job, "done", went_back.rules.sends(), at(1));
+  went_back.rules.told(job, "running", went_back.rules.sends(), at(2));
+  EXPECT_EQ("went_back", went_back.found());
+  Judge nothing;
+  nothing.rules.finish(at(9));
+  EXPECT_EQ("nothing_ran", nothing.found());
+}
+
+// ---- images ----
+
+TEST(stand_ins, an_image_is_fetched_once_kept_and_given_up) {
+  ImageCache cache{10};
+  JobSpec spec;
+  spec.image = "x";
+  spec.image_gb = 6;
+  int fetches = 0;
+  const auto fetch = [&] {
+    ++fetches;
+    return seconds(5);
+  };
+  EXPECT_EQ(at(5), cache.ready_at(spec, at(0), fetch));
+  EXPECT_EQ(at(5), cache.ready_at(spec, at(2), fetch)) << "the same fetch";
+  EXPECT_EQ(at(9), cache.ready_at(spec, at(9), fetch)) << "it is there";
+  JobSpec other = spec;
+  other.image = "y";
+  cache.ready_at(other, at(10), fetch);
+  EXPECT_EQ(at(16), cache.ready_at(spec, at(11), fetch)) << "both do not fit: the older one went";
+  EXPECT_EQ(3, fetches);
+  cache.give_up("x", at(12));
+  EXPECT_EQ(at(18), cache.ready_at(spec, at(13), fetch));
+}
+
+// ---- the store ----
+
+TEST(stand_ins, the_store_keeps_its_limits) {
+  StoreModel store{{2, 3, 20, 4}};
+  EXPECT_TRUE(store.takes_request(at(0)));
+  EXPECT_TRUE(store.takes_request(at(0)));
+  EXPECT_FALSE(store.takes_request(at(0)));
+  EXPECT_TRUE(store.takes_request(at(0.5)));
+  EXPECT_FALSE(store.takes_changes(4, at(0)));
+  const auto put = [&](const std::string& key, const std::string& text) {
+    const json txn{{"when", json::array()}, {"then", {{{"set", key}, {"data", text}}}}};
+    return store.commit(txn, at(1)).status;
+  };
+  EXPECT_EQ(200, put("a", "short"));
+  EXPECT_EQ(400, put("a", std::string(40, 'x')));
+  json many{{"when", json::array()}, {"then", json::array()}};
+  for (int i = 0; i < 5; ++i) many["then"].push_back({{"set", "k" + std::to_string(i)}, {"data", 1}});
+  EXPECT_EQ(400, store.commit(many, at(1)).status);
+}
+
+TEST(stand_ins, a_watch_that_asks_for_too_old_a_revision_is_told_so) {
+  StoreModel store;
+  for (int i = 0; i < 10'001; ++i) store.write("a", i);
+  EXPECT_EQ(410, store.look({"a", 0, {}}, false)->status);
+  EXPECT_EQ(200, store.look({"a", 10'000, {}}, false)->status);
+  EXPECT_FALSE(store.look({"a", 10'001, {}}, false)) << "nothing to tell yet";
+  EXPECT_EQ(200, store.look({"a", 10'001, {}}, true)->status) << "the time is over";
+}
+
+}  // namespace
+}  // namespace martenwall::stand_ins
