--- a/bench/core_bench.cpp
+++ b/bench/core_bench.cpp
@@ -13,7 +13,11 @@
 std::size_t heap_bytes() { return mallinfo2().uordblks + mallinfo2().hblkhd; }
 
 Fleet full(std::size_t machines, const Policy& policy = {}) {
-  Fleet f{machines, machines * pending_per_machine, policy};
+  FleetShape shape;
+  shape.machines = machines;
+  shape.pending = machines * pending_per_machine;
+  shape.policy = policy;
+  Fleet f{std::move(shape)};
   f.fill();
   return f;
 }
@@ -86,7 +90,9 @@
   double whole_mb = 0;
   for (auto _ : state) {
     const auto empty = heap_bytes();
-    Fleet bare{n, 0};
+    FleetShape shape;
+    shape.machines = n;
+    Fleet bare{std::move(shape)};
     const auto with_machines = heap_bytes();
     const auto rows_before = bare.scheduler().jobs().size();
     benchmark::DoNotOptimize(rows_before);
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -8,81 +8,146 @@
 constexpr double gpus_a_machine = 4;
 }
 
+FleetShape planned_shape(std::size_t machines) {
+  FleetShape s;
+  s.machines = machines;
+  s.zones = 15;
+  s.teams = 48;
+  s.cpu_kinds = 1;
+  s.gpu_part = 1800.0 / 6800;
+  s.largest_gang = 64;
+  s.array = 400;
+  return s;
+}
+
 Scheduler::Setup Fleet::setup() const {
   Scheduler::Setup s;
-  s.policy = policy_;
+  s.policy = shape_.policy;
   s.terms = {6, 31, 50, 4, 51};
-  s.teams = {{"red", {0, 1e6, 0}, {0, 1e6, 0}}, {"blue", {0, 1000, 0}, {0, 1e6, 0}}};
+  for (std::size_t t = 0; t < shape_.teams; ++t) {
+    s.teams.push_back({team(t), {0, t % 2 == 0 ? 1e6 : 1000, 0}, {0, 1e6, 0}});
+  }
   s.token = Token{7};
   s.span_size = 400;
   s.group_size = 60;
+  s.log_tasks = false;
   return s;
 }
 
-Fleet::Fleet(std::size_t machines, std::size_t pending, Policy policy) : policy_(std::move(policy)) {
-  types_ = {{"big", {48, gpus_a_machine, 288}, 80, 0.6, 10, 3, 45, {"a", "b", "c"}}};
+Fleet::Fleet(FleetShape shape) : shape_(std::move(shape)) {
+  std::vector<std::string> zones;
+  for (std::size_t z = 0; z < shape_.zones; ++z) zones.push_back(zone(z));
+  types_ = {{"big", {48, gpus_a_machine, 288}, 80, 0.6, 10, 3, 45, zones}};
+  for (std::size_t k = 0; k < shape_.cpu_kinds; ++k) {
+    types_.push_back({"small-" + std::to_string(k), {8, 0, 32}, 40, 0.6, 0.4, 0.15, 45, zones});
+  }
   scheduler_ = std::make_unique<Scheduler>(setup(), [](const std::string&) {});
   scheduler_->set_types(types_);
-  add_machines(machines);
+  add_machines(shape_.machines);
   // What fills the fleet, and what then waits.
-  add_jobs(static_cast<std::size_t>(static_cast<double>(machines) * gpus_a_machine) + pending);
+  if (shape_.cpu_kinds == 0)
+    add_jobs(static_cast<std::size_t>(static_cast<double>(shape_.machines) * gpus_a_machine) + shape_.pending);
 }
 
 void Fleet::add_machines(std::size_t count) {
-  constexpr std::array<const char*, 3> zones{"a", "b", "c"};
+  const auto gpu_machines = static_cast<std::size_t>(static_cast<double>(count) * shape_.gpu_part);
   for (std::size_t i = 0; i < count; ++i) {
-    Worker w{MachineId{"i-" + std::to_string(100000 + i)}, 0, {}};
+    const bool big = i < gpu_machines || shape_.cpu_kinds == 0;
+    Worker w{MachineId{"i-" + std::to_string(100000 + i)},
+             big ? "big" : "small-" + std::to_string(i % shape_.cpu_kinds),
+             zone(i),
+             0,
+             {}};
     by_id_[w.id] = i;
     workers_.push_back(w);
-    WorkerReport r = report_of(workers_.back());
-    r.zone = zones.at(i % zones.size());
-    report(r);
+    report(report_of(workers_.back()));
   }
 }
 
-void Fleet::add_job(Shape shape, std::uint32_t tasks, Rank rank) {
+JobSpec Fleet::next_spec(Shape shape, std::uint32_t tasks, Rank rank) {
+  JobSpec spec;
+  spec.id = JobId{"job-" + std::to_string(100000 + job_no_++)};
+  spec.lane = shape == Shape::gang ? "train" : "scan";
+  spec.team = team(job_no_);
+  spec.shape = shape;
+  spec.rank = rank;
+  spec.tasks = tasks;
+  spec.need = shape == Shape::gang ? Resources{43, 4, 230} : Resources{10, 1, 54};
+  spec.image = "img-" + std::to_string(job_no_ % 20);
+  spec.image_gb = 4;
+  spec.one_zone = shape == Shape::gang && job_no_ % 3 == 0;
+  spec.estimate_s = 100;
+  spec.checkpoint_s = 20;
+  spec.save_s = 3;
+  if (shape == Shape::array) spec.deadline_s = 400;
+  return spec;
+}
+
+void Fleet::add_job(JobSpec spec) {
   Job job;
-  job.spec.id = JobId{"job-" + std::to_string(100000 + job_no_++)};
-  job.spec.lane = shape == Shape::gang ? "train" : "scan";
-  job.spec.team = job_no_ % 2 == 0 ? "red" : "blue";
-  job.spec.shape = shape;
-  job.spec.rank = rank;
-  job.spec.tasks = tasks;
-  job.spec.need = shape == Shape::gang ? Resources{43, 4, 230} : Resources{10, 1, 54};
-  job.spec.image = "img-" + std::to_string(job_no_ % 20);
-  job.spec.image_gb = 4;
-  job.spec.one_zone = shape == Shape::gang && job_no_ % 3 == 0;
-  job.spec.estimate_s = 100;
-  job.spec.checkpoint_s = 20;
-  job.spec.save_s = 3;
-  if (shape == Shape::array) job.spec.deadline_s = 400;
+  job.spec = std::move(spec);
   job.submitted = now_;
   scheduler_->add_job(std::move(job), now_);
 }
 
-// A third of the work in gangs of 1 to 16, a third in arrays of 30, a third in one array of up to 100,000.
+JobId Fleet::add_array(std::uint32_t tasks) {
+  auto spec = next_spec(Shape::array, tasks, Rank::best_effort);
+  spec.need = {1, 0, 3};
+  spec.types.emplace();
+  for (std::size_t k = 0; k < shape_.cpu_kinds; ++k) spec.types->push_back("small-" + std::to_string(k));
+  const JobId id = spec.id;
+  add_job(std::move(spec));
+  return id;
+}
+
+JobId Fleet::add_gang(std::uint32_t tasks) {
+  auto spec = next_spec(Shape::gang, tasks, Rank::high);
+  spec.types = {"big"};
+  spec.one_zone = false;
+  const JobId id = spec.id;
+  add_job(std::move(spec));
+  return id;
+}
+
+// A third of the work in gangs of 1 to the largest, a third in arrays, a third in one array of up to 100,000.
 void Fleet::add_jobs(std::size_t tasks) {
   std::size_t left = tasks / 3;
-  for (std::uint32_t size = 1; left > 0; size = size >= 16 ? 1 : size * 2) {
+  for (std::uint32_t size = 1; left > 0; size = size >= shape_.largest_gang ? 1 : size * 2) {
     const auto n = static_cast<std::uint32_t>(std::min<std::size_t>(size, std::max<std::size_t>(1, left / 4)));
-    add_job(Shape::gang, n, Rank::high);
+    add_job(next_spec(Shape::gang, n, Rank::high));
     left -= std::min<std::size_t>(left, n * 4);
   }
-  for (left = tasks / 3; left > 0; left -= std::min<std::size_t>(left, 30)) add_job(Shape::array, 30, Rank::normal);
+  for (left = tasks / 3; left > 0; left -= std::min<std::size_t>(left, shape_.array)) {
+    add_job(next_spec(Shape::array, shape_.array, Rank::normal));
+  }
   for (left = tasks / 3; left > 0;) {
     const auto n = std::min<std::size_t>(left, 100'000);
-    add_job(Shape::array, static_cast<std::uint32_t>(n), Rank::best_effort);
+    add_job(next_spec(Shape::array, static_cast<std::uint32_t>(n), Rank::best_effort));
     left -= n;
   }
 }
 
+std::vector<WorkerReport> Fleet::ends(std::size_t count) {
+  std::vector<WorkerReport> out;
+  for (auto& w : workers_) {
+    if (count == 0) break;
+    if (w.type == "big" || w.tasks.empty()) continue;
+    for (auto& t : w.tasks) {
+      if (count == 0) break;
+      t.state = TaskState::ended;
+      --count;
+    }
+    out.push_back(report_of(w));
+  }
+  return out;
+}
+
 WorkerReport Fleet::report_of(Worker& w) {
   WorkerReport r;
   r.machine = w.id;
   r.addr = "10.0.0.1:9000";
-  r.type = "big";
-  const auto known = scheduler_->machines().find(w.id);
-  r.zone = known == scheduler_->machines().end() ? "a" : known->second.zone;
+  r.type = w.type;
+  r.zone = w.zone;
   r.session = Session{1};
   r.tick = Tick{++w.tick};
   r.token = Token{7};
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -11,13 +11,31 @@
 
 namespace martenwall::bench {
 
+struct FleetShape {
+  std::size_t machines = 0;  // all up
+  std::size_t pending = 0;   // tasks that find no place
+  std::size_t zones = 3, teams = 2;
+  std::size_t cpu_kinds = 0;  // types of 8 CPUs without GPUs, beside the one of 4 GPUs
+  double gpu_part = 1;        // of the machines
+  std::uint32_t largest_gang = 16;
+  std::uint32_t array = 30;  // tasks of an array
+  Policy policy{};           // what the leader weighs by
+};
+
+// docs/CAPACITY.md's size, or a part of it: two kinds of machine, 15 zones, 48 teams, gangs of up to 64.
+FleetShape planned_shape(std::size_t machines);
+
 class Fleet {
  public:
-  // `machines`: of 4 GPUs each, all up. `pending`: tasks that find no place, in arrays and gangs of 1 to 16.
-  // `policy`: what the leader weighs by.
-  Fleet(std::size_t machines, std::size_t pending, Policy policy = {});
+  explicit Fleet(FleetShape shape);
   // Rounds and reports until nothing more can be placed.
   void fill();
+  // An array of one-CPU tasks for machines without GPUs, or a gang of whole machines with them.
+  JobId add_array(std::uint32_t tasks);
+  JobId add_gang(std::uint32_t tasks);
+  [[nodiscard]] JobSpec next_spec(Shape shape, std::uint32_t tasks, Rank rank);
+  // Reports in which `count` tasks of machines without GPUs have just ended.
+  std::vector<WorkerReport> ends(std::size_t count);
   // Tasks on one machine in `part` complete, and their ends are reported and stored.
   void complete(std::size_t part);
   // Reports of the next `count` machines, in turn; each is sent by its worker as things stand.
@@ -46,18 +64,22 @@
   };
   struct Worker {
     MachineId id;
+    std::string type, zone;
     std::uint64_t tick = 0;
     std::vector<Task> tasks;
   };
   void add_machines(std::size_t count);
   void add_jobs(std::size_t pending);
-  void add_job(Shape shape, std::uint32_t tasks, Rank rank);
+  void add_job(JobSpec spec);
   void execute(Worker& w, const std::vector<Order>& orders);
   WorkerReport report_of(Worker& w);
   [[nodiscard]] Scheduler::Setup setup() const;
 
+  [[nodiscard]] std::string team(std::size_t n) const { return "team-" + std::to_string(n % shape_.teams); }
+  [[nodiscard]] std::string zone(std::size_t n) const { return "zone-" + std::to_string(n % shape_.zones); }
+
   Time now_{seconds(1000)};
-  Policy policy_;
+  FleetShape shape_;
   std::vector<MachineType> types_;
   std::unique_ptr<Scheduler> scheduler_;
   std::vector<Worker> workers_;
