The scale run: real controllers against hollow workers, in real time, judged from what workers saw

Need: what the planned size costs is to be shown on real processes, not only simulated ones. tools/scale_run.py plays a plan (TOML): controllers as deploy/service.toml starts them, and from the models of stand_ins/ a state service with its limits and latency, and one process a cell with hollow workers, cloud, users behind a balancer, and the judge. Leaders are killed, zones cut, workers restarted.

--- /dev/null
+++ b/scale/hollow_worker.cpp
@@ -0,0 +1,119 @@
+#include "scale/hollow_worker.hpp"
+
+#include <algorithm>
+
+namespace martenwall::scale {
+
+namespace {
+
+using nlohmann::json;
+
+// PROTOCOL, "Workers -> controller nodes".
+constexpr Duration answer_limit = seconds(4);
+constexpr Duration least_gap = seconds(0.5);
+constexpr Duration next_node_after = seconds(1);
+constexpr std::size_t most_answer = 256 * 1024;
+constexpr std::size_t most_commands = 8;  // connections of controllers at once
+
+rt::HttpServer::Bounds bounds() {
+  rt::HttpServer::Bounds b;
+  b.connections = most_commands;
+  return b;
+}
+
+}  // namespace
+
+HollowWorker::HollowWorker(WorkerField& field, stand_ins::MachineTraits traits, Time boots)
+    : field_(field),
+      model_(field.world, std::move(traits), boots),
+      next_report_(boots),
+      wake_(field.loop),
+      client_(field.loop, 2, most_answer, 1),
+      server_(field.loop, *rt::Endpoint::parse("127.0.0.1:0"), bounds(),
+              [this](rt::HttpMessage m) { return serve(std::move(m)); }) {
+  model_.set_endpoint("127.0.0.1:" + std::to_string(server_.port()));
+  target_ = static_cast<std::size_t>(field_.roll() * static_cast<double>(field_.controllers.size()));
+}
+
+void HollowWorker::run() {
+  rt::spawn(server_.serve());
+  rt::spawn(report_loop());
+}
+
+void HollowWorker::wake_if_changed() {
+  if (model_.changed()) wake_.notify();
+}
+
+void HollowWorker::restart() {
+  model_.restart(field_.loop.now());
+  wake_if_changed();
+}
+
+rt::Task<void> HollowWorker::report_loop() {
+  while (!model_.gone()) {
+    const Time now = field_.loop.now();
+    const Time sooner = model_.changed() ? std::max(last_report_ + least_gap, Time{}) : next_report_;
+    const Time due = std::max({std::min(next_report_, sooner), cut_until_, last_report_ + Duration{1}});
+    if (!model_.up(now) || now < due) {
+      const Time until = model_.up(now) ? due : std::max(due, now + seconds(0.2));
+      co_await wake_.wait(until);
+      continue;
+    }
+    model_.reported();
+    last_report_ = now;
+    next_report_ = now + seconds(field_.world.terms.report_s * (0.75 + 0.5 * field_.roll()));
+    const auto session = model_.session();
+    std::string body = model_.report();
+    ++field_.traffic.reports;
+    field_.traffic.report_bytes += body.size();
+    bytes_ += body.size();
+    std::string to = field_.controllers.at(target_).users;
+    const rt::HttpResult result =
+        co_await client_.request(std::move(to), "POST", "/agent/beat", std::move(body), answer_limit);
+    // What was under way when it was cut off is lost.
+    if (!cut()) take_answer(result, now, session);
+  }
+}
+
+void HollowWorker::take_answer(const rt::HttpResult& result, Time sent, std::uint64_t session) {
+  const Time now = field_.loop.refresh();
+  const bool in_time = result.outcome == rt::Outcome::answered && now - sent <= answer_limit;
+  const json body = in_time ? json::parse(result.body, nullptr, false) : json{};
+  field_.traffic.answer_bytes += result.body.size();
+  bytes_ += result.body.size();
+  if (in_time && result.status == 421 && body.is_object() && body.contains("steward")) {
+    const auto named =
+        std::ranges::find(field_.controllers, body.at("steward").get<std::string>(), &ControllerAddress::name);
+    const auto at = static_cast<std::size_t>(named - field_.controllers.begin());
+    if (named != field_.controllers.end() && at != target_) {
+      target_ = at;
+      next_report_ = now;
+      return;
+    }
+  }
+  if (!in_time || result.status != 200) {
+    target_ = (target_ + 1) % field_.controllers.size();
+    next_report_ = now + next_node_after;
+    return;
+  }
+  ++field_.traffic.answered;
+  model_.take_answer(body, session, sent, now);
+}
+
+rt::Task<rt::HttpResponse> HollowWorker::serve(rt::HttpMessage request) {
+  const Time now = field_.loop.refresh();
+  if (!model_.up(now) || cut()) {
+    co_await field_.loop.sleep(answer_limit);
+    co_return rt::HttpResponse{503, "{}", {}, true};
+  }
+  if (request.target == "/inspect") co_return rt::HttpResponse{200, model_.report(), {}, false};
+  const json body = json::parse(request.body, nullptr, false);
+  auto reply = model_.commands(body, now);
+  ++field_.traffic.commands;
+  field_.traffic.command_bytes += request.body.size() + reply.body.size();
+  bytes_ += request.body.size() + reply.body.size();
+  wake_if_changed();
+  co_return rt::HttpResponse{reply.status, std::move(reply.body), {}, false};
+}
+
+}  // namespace martenwall::scale
--- /dev/null
+++ b/scale/store_server.cpp
@@ -0,0 +1,95 @@
+#include "scale/store_server.hpp"
+
+namespace martenwall::scale {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration tick_every = seconds(0.05);
+constexpr std::size_t most_connections = 4000;
+
+rt::HttpServer::Bounds bounds() {
+  rt::HttpServer::Bounds b;
+  b.connections = most_connections;
+  return b;
+}
+
+rt::HttpResponse refusal() { return {429, R"({"error":"too many requests"})", {}, false}; }
+
+}  // namespace
+
+StoreServer::StoreServer(rt::Loop& loop, StorePlan plan)
+    : loop_(loop),
+      plan_(std::move(plan)),
+      model_(plan_.limits),
+      changed_(loop),
+      server_(loop, *rt::Endpoint::parse(plan_.listen), bounds(),
+              [this](rt::HttpMessage m) { return handle(std::move(m)); }),
+      control_(loop, *rt::Endpoint::parse(plan_.control), {},
+               [this](rt::HttpMessage m) { return control(std::move(m)); }) {}
+
+void StoreServer::run() {
+  rt::spawn(server_.serve());
+  rt::spawn(control_.serve());
+  rt::spawn(ticks());
+}
+
+rt::Task<void> StoreServer::ticks() {
+  for (;;) {
+    const auto before = model_.changes();
+    model_.tick(loop_.refresh());
+    if (model_.changes() != before) changed_.notify();
+    co_await loop_.sleep(tick_every);
+  }
+}
+
+rt::Task<rt::HttpResponse> StoreServer::handle(rt::HttpMessage request) {
+  ++counts_.requests;
+  counts_.bytes_in += request.body.size();
+  if (!model_.takes_request(loop_.refresh())) {
+    ++counts_.refused;
+    co_return refusal();
+  }
+  if (plan_.latency > Duration{0}) co_await loop_.sleep(plan_.latency);
+  if (request.target.starts_with("/watch")) co_return co_await watch(std::move(request.target));
+  if (request.target != "/multi") {
+    auto reply = model_.answer(request.method, request.target, request.body, loop_.refresh());
+    counts_.bytes_out += reply.body.size();
+    co_return rt::HttpResponse{reply.status, std::move(reply.body), {}, false};
+  }
+  const json txn = json::parse(request.body);
+  if (!model_.takes_changes(txn.at("then").size(), loop_.now())) {
+    ++counts_.refused;
+    co_return refusal();
+  }
+  auto reply = model_.commit(txn, loop_.refresh());
+  if (!txn.at("then").empty()) ++(reply.status == 200 ? counts_.transactions : counts_.conflicts);
+  changed_.notify();
+  co_return rt::HttpResponse{reply.status, std::move(reply.body), {}, false};
+}
+
+rt::Task<rt::HttpResponse> StoreServer::watch(std::string target) {
+  const auto watch = stand_ins::StoreModel::parse_watch(target);
+  const Time until = loop_.now() + watch.hold;
+  for (;;) {
+    auto told = model_.look(watch, loop_.now() >= until);
+    if (told) co_return rt::HttpResponse{told->status, std::move(told->body), {}, false};
+    co_await changed_.wait(until);
+  }
+}
+
+// For the run's own questions: no limit, not counted.
+rt::Task<rt::HttpResponse> StoreServer::control(rt::HttpMessage request) {
+  if (request.target == "/counters") {
+    const json counters{{"requests", counts_.requests},         {"refused", counts_.refused},
+                        {"transactions", counts_.transactions}, {"conflicts", counts_.conflicts},
+                        {"changes", model_.changes()},          {"rows", model_.rows()},
+                        {"bytes_in", counts_.bytes_in},         {"bytes_out", counts_.bytes_out}};
+    co_return rt::HttpResponse{200, counters.dump(), {}, false};
+  }
+  auto reply = model_.answer(request.method, request.target, request.body, loop_.refresh());
+  co_return rt::HttpResponse{reply.status, std::move(reply.body), {}, false};
+}
+
+}  // namespace martenwall::scale
--- a/stand_ins/rules.cpp
+++ b/stand_ins/rules.cpp
@@ -119,6 +119,12 @@
   return out;
 }
 
+std::size_t Rules::tasks_on_machines() const {
+  std::size_t n = 0;
+  for (const auto& [id, tasks] : on_) n += tasks.size();
+  return n;
+}
+
 bool Rules::within_limit(const JobId& id, std::uint32_t more_tasks) const {
   const auto& spec = works_.at(id).spec;
   const auto& teams = limits_.back().teams;
--- a/stand_ins/rules.hpp
+++ b/stand_ins/rules.hpp
@@ -72,6 +72,7 @@
 
   [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
   [[nodiscard]] std::size_t started() const { return started_; }
+  [[nodiscard]] std::size_t tasks_on_machines() const;
   // Starts after their user was told of the cancellation, within cancel_s: a start was on its way. Later ones break a
   // rule.
   [[nodiscard]] std::size_t started_after_cancel() const { return started_after_cancel_; }
--- /dev/null
+++ b/tools/scale_run.py
@@ -0,0 +1,404 @@
+#!/usr/bin/python3
+"""Plays a plan (TOML) with real controllers and stand-ins, all processes of this machine, in real time.
+
+    tools/scale_run.py PLAN.toml [--scale F] [--calm] [--build DIR] [--report FILE.json] [--plot FILE.png] [--logs DIR]
+
+--scale: that factor on machines, teams' limits and jobs (default 1). --calm: none of the plan's events.
+
+A plan has one or more cells; each has controllers (the program of deploy/service.toml), a state service, and one process
+with its hollow workers, cloud, users and the judge of PROTOCOL's rules (`martenwall_stand_in`, -DMARTENWALL_SCALE=ON).
+All speak over 127.0.0.1. The report tells, cell by cell: throughput, quantiles of start delay by class, processor time and
+memory of each process from the kernel's own count, bytes a worker, changes of the state service a start, and the rules
+broken. Exit code 0; 1 where a rule was broken, a controller ended by itself or jobs were left open; 2 for a plan or a
+machine that cannot play it. Ctrl-C ends all processes; when this program dies, they die with it.
+
+Times in a plan are seconds from the first submission. See scale/plans/ for plans. Needs Debian's python3-numpy and, for
+--plot, python3-matplotlib.
+"""
+import argparse
+import ctypes
+import json
+import os
+import shlex
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+import urllib.error
+import urllib.request
+
+import numpy
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+TICKS = os.sysconf("SC_CLK_TCK")
+PR_SET_PDEATHSIG = 1
+QUANTILES = (0.5, 0.9, 0.99)
+FIELD_EVENTS = ("cut_zone", "restart_workers", "limits")
+OWN_EVENTS = ("kill_leader", "kill_controller", "kill_all")
+
+
+class PlanError(Exception):
+    pass
+
+
+def die_with_parent():
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Ports:
+    """Free ports of 127.0.0.1 below the range that the kernel draws from, so that no outgoing connection takes one."""
+
+    def __init__(self):
+        self.next = 20000 + os.getpid() % 5000
+
+    def take(self):
+        while True:
+            self.next += 1
+            with socket.socket() as s:
+                try:
+                    s.bind(("127.0.0.1", self.next))
+                except OSError:
+                    continue
+            return f"127.0.0.1:{self.next}"
+
+
+def get(address, path):
+    try:
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=2) as answer:
+            return json.load(answer)
+    except (urllib.error.URLError, OSError, ValueError):
+        return None
+
+
+class Process:
+    """A child, its processor time and peak memory, over all its restarts."""
+
+    def __init__(self, name, command, log):
+        self.name, self.command, self.log = name, command, log
+        self.cpu_before = 0.0
+        self.peak_mb = 0.0
+        self.cpu = []  # seconds so far, once a second
+        self.child = None
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(self.command, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                          preexec_fn=die_with_parent)
+
+    def running(self):
+        return self.child is not None and self.child.poll() is None
+
+    def cpu_s(self):
+        try:
+            with open(f"/proc/{self.child.pid}/stat", encoding="ascii") as f:
+                fields = f.read().rsplit(") ", 1)[1].split()
+            return (int(fields[11]) + int(fields[12])) / TICKS
+        except (OSError, IndexError):
+            return 0.0
+
+    def sample(self):
+        if not self.running():
+            return
+        self.cpu.append(self.cpu_before + self.cpu_s())
+        try:
+            with open(f"/proc/{self.child.pid}/status", encoding="ascii") as f:
+                peak = next((line for line in f if line.startswith("VmHWM")), "VmHWM: 0 kB")
+            self.peak_mb = max(self.peak_mb, int(peak.split()[1]) / 1024)
+        except OSError:
+            pass
+
+    def end(self):
+        if self.running():
+            self.cpu_before += self.cpu_s()
+            self.child.kill()
+            self.child.wait()
+
+
+def expanded(plan, scale, calm):
+    """The plan at another scale, with teams that have `copies` written out."""
+    plan = json.loads(json.dumps(plan))
+    teams = []
+    for team in plan["teams"]:
+        limits = {k: v * scale if isinstance(v, float) else v for k, v in team.items() if k not in ("name", "copies")}
+        names = [f"{team['name']}-{i:02d}" for i in range(team["copies"])] if "copies" in team else [team["name"]]
+        teams += [{"name": name, **limits} for name in names]
+    plan["teams"] = teams
+    for machines in plan["machines"]:
+        for key in ("count", "spare"):
+            machines[key] = round(machines.get(key, 0) * scale)
+    for job_class in plan["classes"]:
+        job_class["per_second"] *= scale
+        job_class["at_start"] = round(job_class.get("at_start", 0) * scale)
+    if calm:
+        plan["event"] = []
+    return plan
+
+
+def merged(cell, plan):
+    """A cell's plan: what the whole plan says, with what the cell says of its own."""
+    out = {key: value for key, value in plan.items() if key != "cell"}
+    out.update(cell)
+    return out
+
+
+class Cell:
+    def __init__(self, name, plan, build, folder, ports):
+        self.name, self.plan, self.folder = name, plan, folder
+        self.events = sorted(plan.get("event", []), key=lambda e: e["at_s"])
+        for e in self.events:
+            if e["kind"] not in FIELD_EVENTS + OWN_EVENTS:
+                raise PlanError(f"event: unknown kind '{e['kind']}'")
+        self.own_events = [e for e in self.events if e["kind"] in OWN_EVENTS]
+        self.restarts = []  # (when, process)
+        self.killed = []
+        self.ended_by_itself = []
+        state, self.control, cloud = ports.take(), ports.take(), ports.take()
+        users = [ports.take() for _ in range(plan["controllers"])]
+        links = [ports.take() for _ in range(plan["controllers"])]
+        names = [f"{name}-{i}" for i in range(plan["controllers"])]
+        store = {**plan["state"], "listen": state, "control": self.control}
+        store["value_bytes"] = int(store.pop("value_kb") * 1024)
+        self.store = Process("store", [f"{build}/scale/martenwall_stand_in", "store", self.write("store.json", store)],
+                             f"{folder}/store.log")
+        run = shlex.split(service_line("run"))
+        run[0] = f"{build}/martenwall"
+        self.controllers = []
+        for i, node in enumerate(names):
+            others = [{"member": n, "domain": self.zone(k), "endpoint": links[k]}
+                      for k, n in enumerate(names) if k != i]
+            settings = {"member": node, "domain": self.zone(i), "bind": users[i], "cluster_listen": links[i],
+                        "others": others, "external": {"cloud": cloud, "state": state}, "facts": self.facts()}
+            command = [*run, self.write(f"{node}.json", settings)]
+            self.controllers.append(Process(node, command, f"{folder}/{node}.log"))
+        field = {key: plan[key] for key in ("workers", "flavors", "zones", "machines", "teams", "classes", "arrivals_s")}
+        field.update({key: plan[key] for key in ("begin_s", "drain_s", "seed") if key in plan})
+        self.result = f"{folder}/result.json"
+        field.update({"cloud_listen": cloud, "result": self.result,
+                      "controllers": [{"name": n, "users": u} for n, u in zip(names, users)],
+                      "events": [e for e in self.events if e["kind"] in FIELD_EVENTS]})
+        self.field = Process("field", [f"{build}/scale/martenwall_stand_in", "field", self.write("field.json", field)],
+                             f"{folder}/field.log")
+
+    def write(self, name, value):
+        path = f"{self.folder}/{name}"
+        with open(path, "w", encoding="utf-8") as f:
+            json.dump(value, f)
+        return path
+
+    def zone(self, i):
+        return self.plan["zones"][i % len(self.plan["zones"])]
+
+    def facts(self):
+        plan = self.plan
+        objectives = [{"kind": "wait", "class": c["name"], "within_s": c["begin_within_s"], "share": 0.9}
+                      for c in plan["classes"] if "begin_within_s" in c]
+        state = {key: plan["state"][key] for key in ("value_kb",)}
+        state.update({"rps": plan["state"]["requests_per_s"], "write_rps": plan["state"]["changes_per_s"],
+                      "txn_ops": plan["state"]["txn_changes"]})
+        return {"nodes": plan["controllers"], "zones": plan["zones"], "teams": plan["teams"], "objectives": objectives,
+                "workers": plan["workers"], "state": state, "cloud": plan.get("cloud", {"rps": 10.0, "list_lag_s": 3.0}),
+                "resources": {"cpu_share": 1.0, "mem_mb": 188.0, "max_connections": plan.get("max_connections", 4000)},
+                "clock_off_ms": 5.0}
+
+    def processes(self):
+        return [self.store, *self.controllers, self.field]
+
+    def leader(self):
+        row = get(self.control, "/store/lead")
+        name = row["data"]["node"] if row else None
+        return next((c for c in self.controllers if c.name == name and c.running()), None)
+
+    def step(self, now_s):
+        while self.own_events and self.own_events[0]["at_s"] <= now_s:
+            event = self.own_events.pop(0)
+            victims = self.victims(event)
+            for process in victims:
+                process.end()
+                self.killed.append((round(now_s, 1), event["kind"], process.name))
+                self.restarts.append((now_s + event.get("back_after_s", 8.0), process))
+        for when, process in [r for r in self.restarts if r[0] <= now_s]:
+            self.restarts.remove((when, process))
+            process.start()
+        waiting = [p for _, p in self.restarts]
+        for process in [self.store, *self.controllers]:
+            if not process.running() and process not in waiting and process.name not in self.ended_by_itself:
+                self.ended_by_itself.append(process.name)
+
+    def victims(self, event):
+        if event["kind"] == "kill_all":
+            return list(self.controllers)
+        if event["kind"] == "kill_leader":
+            leader = self.leader()
+            return [leader] if leader else []
+        return [self.controllers[event["controller"]]]
+
+    def end(self):
+        for process in self.processes():
+            process.end()
+
+
+def service_line(name):
+    with open(f"{ROOT}/deploy/service.toml", "rb") as f:
+        return tomllib.load(f)[name]
+
+
+def quantiles(values):
+    if not values:
+        return None
+    return {f"p{q * 100:g}": round(float(numpy.quantile(values, q)), 3) for q in QUANTILES} | {
+        "max": round(float(max(values)), 3)}
+
+
+def process_figures(process, length_s):
+    steps = numpy.diff(process.cpu) if len(process.cpu) > 1 else numpy.array([0.0])
+    return {"cpu_s": round(process.cpu[-1] if process.cpu else 0.0, 2),
+            "core_mean": round((process.cpu[-1] if process.cpu else 0.0) / max(length_s, 1e-9), 4),
+            "core_peak": round(float(steps.max()), 3), "peak_mb": round(process.peak_mb, 1)}
+
+
+def cell_report(cell, counters, length_s):
+    with open(cell.result, encoding="utf-8") as f:
+        r = json.load(f)
+    starts = numpy.array(r["starts_a_second"])
+    workers, started = r["workers"], max(1, r["started"])
+    worker_seconds = max(1.0, workers["machines"] * length_s)
+    payload = workers["report_bytes"] + workers["answer_bytes"] + workers["command_bytes"]
+    classes = {}
+    for name, c in r["classes"].items():
+        classes[name] = {k: c[k] for k in ("jobs", "tasks", "begun", "done", "cancelled")}
+        classes[name]["begin_delay_s"] = quantiles(c["begin_delay_s"])
+    return {
+        "breaches": r["breaches"], "ended_by_itself": cell.ended_by_itself, "open_jobs": r["open_jobs"],
+        "killed": cell.killed, "length_s": round(length_s, 1), "machines": workers["machines"],
+        "tasks_started": r["started"], "starts_a_second": quantiles([float(s) for s in starts if s > 0]),
+        "most_on_machines": max(r["on_machines"], default=0), "classes": classes, "submit_s": quantiles(r["submit_s"]),
+        "errors": r["errors"], "polls": r["polls"], "lost_to_lease": workers["lost_to_lease"],
+        "worker_bytes_a_second": round(payload / worker_seconds, 1),
+        "worker_busiest_bytes_in_a_second": workers["busiest_bytes_in_a_second"],
+        "reports_a_second": round(workers["reports"] / length_s, 1),
+        "store": counters, "changes_a_start": round((counters or {}).get("changes", 0) / started, 4),
+        "cloud_calls": r["cloud_calls"], "longest_tick_s": r["longest_tick_s"],
+        "controllers": {c.name: process_figures(c, length_s) for c in cell.controllers},
+        "stand_ins": {p.name: process_figures(p, length_s) for p in (cell.store, cell.field)},
+        "log_bytes": {c.name: os.path.getsize(c.log) for c in cell.controllers},
+        "series": {"starts_a_second": r["starts_a_second"], "on_machines": r["on_machines"]},
+    }
+
+
+def plot(report, path):
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    figure, (top, bottom) = pyplot.subplots(2, 1, sharex=True, figsize=(9, 6))
+    for name, cell in report["cells"].items():
+        top.plot(cell["series"]["starts_a_second"], label=name, linewidth=0.8)
+        bottom.plot(cell["series"]["on_machines"], label=name)
+    top.set_ylabel("task starts a second")
+    bottom.set_ylabel("tasks on machines")
+    bottom.set_xlabel("seconds since the stand-ins began")
+    top.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+def summary(report):
+    lines = []
+    for name, c in report["cells"].items():
+        verdict = "no rule broken" if not c["breaches"] else f"RULES BROKEN: {c['breaches']}"
+        if c["ended_by_itself"]:
+            verdict += f"; ENDED BY THEMSELVES: {c['ended_by_itself']}"
+        if c["open_jobs"]:
+            verdict += f"; {c['open_jobs']} JOBS LEFT OPEN"
+        lines.append(f"{name}: {verdict}; {c['machines']} machines, {c['tasks_started']} tasks started, starts a second "
+                     f"{c['starts_a_second']}, at most {c['most_on_machines']} on machines")
+        for lane, k in c["classes"].items():
+            lines.append(f"  {lane}: {k['jobs']} jobs, {k['begun']} begun, {k['done']} done; begin delay {k['begin_delay_s']}")
+        lines.append(f"  submissions {c['submit_s']} s; errors {c['errors']}; store {c['changes_a_start']} changes a start")
+        for who, p in {**c["controllers"], **c["stand_ins"]}.items():
+            lines.append(f"  {who}: {p['core_mean']} of a core, peak {p['core_peak']}, {p['peak_mb']} MB")
+    return "\n".join(lines)
+
+
+def play(plan, build, folder):
+    ports = Ports()
+    cells = []
+
+    def stop(*_):
+        for cell in cells:
+            cell.end()
+        sys.exit(130)
+
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        for spec in plan.get("cell", [{"name": "cell"}]):
+            os.makedirs(f"{folder}/{spec['name']}")
+            cells.append(Cell(spec["name"], merged(spec, plan), build, f"{folder}/{spec['name']}", ports))
+        began = time.monotonic()
+        first_submission = {}
+        counters = {}
+        while any(cell.field.running() for cell in cells):
+            time.sleep(0.25)
+            now = time.monotonic()
+            for cell in cells:
+                if not cell.field.running():
+                    continue
+                if int(now - began) > len(cell.store.cpu):
+                    for process in cell.processes():
+                        process.sample()
+                    counters[cell.name] = get(cell.control, "/counters") or counters.get(cell.name)
+                if cell.name not in first_submission and counters.get(cell.name) and first_job(cell):
+                    first_submission[cell.name] = now
+                if cell.name in first_submission:
+                    cell.step(now - first_submission[cell.name])
+        length_s = time.monotonic() - began
+        failed = [c.name for c in cells if c.field.child.returncode not in (0, 1)]
+        if failed:
+            raise PlanError(f"the stand-ins of {', '.join(failed)} failed: see {folder}")
+        return {"cells": {c.name: cell_report(c, counters.get(c.name), length_s) for c in cells}}
+    finally:
+        for cell in cells:
+            cell.end()
+
+
+def first_job(cell):
+    page = get(cell.control, "/store?prefix=j/&page=1")
+    return bool(page and page["rows"])
+
+
+def main(argv):
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("plan")
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--calm", action="store_true")
+    parser.add_argument("--build", default=f"{ROOT}/target/scale")
+    parser.add_argument("--report", metavar="FILE")
+    parser.add_argument("--plot", metavar="FILE")
+    parser.add_argument("--logs", metavar="DIR", help="keep what the processes wrote")
+    args = parser.parse_args(argv)
+    try:
+        with open(args.plan, "rb") as f:
+            plan = expanded(tomllib.load(f), args.scale, args.calm)
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = args.logs or temporary
+            os.makedirs(folder, exist_ok=True)
+            report = play(plan, os.path.abspath(args.build), folder)
+    except (OSError, tomllib.TOMLDecodeError, KeyError, PlanError) as e:
+        print(f"scale_run: {type(e).__name__}: {e}", file=sys.stderr)
+        return 2
+    if args.report:
+        with open(args.report, "w", encoding="utf-8") as f:
+            json.dump(report, f, indent=1)
+    if args.plot:
+        plot(report, args.plot)
+    print(summary(report))
+    bad = any(c["breaches"] or c["ended_by_itself"] or c["open_jobs"] for c in report["cells"].values())
+    return int(bad)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
