--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int bad_plan = 2;
+constexpr int failed = 3;
 
 nlohmann::json read(const std::string& path) {
   std::ifstream in{path};
@@ -49,6 +50,6 @@
     return bad_plan;
   } catch (const std::exception& e) {
     std::cerr << "martenwall_stand_in: " << e.what() << '\n';
-    return 1;
+    return failed;
   }
 }
--- /dev/null
+++ b/src/config/configuration_document.cpp
@@ -0,0 +1,100 @@
+#include "config/configuration_document.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <string_view>
+
+namespace martenwall::config {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* teams_field = "teams";
+constexpr const char* properties_field = "properties";
+constexpr std::size_t longest_name = 200;
+
+struct TeamField {
+  const char* name;
+  double Resources::*amount;
+  Resources Team::*of;
+};
+constexpr std::array<TeamField, 4> team_fields{{{"cpus", &Resources::cpus, &Team::guarantee},
+                                                {"gpus", &Resources::gpus, &Team::guarantee},
+                                                {"cpus_max", &Resources::cpus, &Team::limit},
+                                                {"gpus_max", &Resources::gpus, &Team::limit}}};
+
+[[noreturn]] void fail(const std::string& field, const std::string& what) {
+  throw SettingsError("configuration: field '" + field + "' " + what);
+}
+
+double amount(const json& value, const std::string& field) {
+  if (!value.is_number()) fail(field, "must be a number");
+  const auto n = value.get<double>();
+  if (!std::isfinite(n) || n < 0) fail(field, "must not be negative");
+  return n;
+}
+
+Team team_of(const std::string& name, const json& value) {
+  const std::string field = std::string{teams_field} + "." + name;
+  if (name.empty() || name.size() > longest_name) fail(teams_field, "names a team of no or too many letters");
+  if (!value.is_object()) fail(field, "must be an object");
+  Team team;
+  team.name = name;
+  for (const auto& [key, n] : value.items()) {
+    const auto known = std::ranges::find(team_fields, std::string_view{key}, &TeamField::name);
+    const std::string path = std::string{field}.append(".").append(key);
+    if (known == team_fields.end()) fail(path, "is not known");
+    (team.*known->of).*known->amount = amount(n, path);
+  }
+  return team;
+}
+
+}  // namespace
+
+bool changes_in_flight(const std::string& property) {
+  return property.starts_with("scheduler.") || property.starts_with("fleet.");
+}
+
+json teams_document(const std::vector<Team>& teams) {
+  json out = json::object();
+  for (const auto& team : teams) {
+    for (const auto& f : team_fields) out[team.name][f.name] = (team.*f.of).*f.amount;
+  }
+  return out;
+}
+
+json patched(const json& document, const json& patch, const Settings& settings) {
+  json out = document.is_object() ? document : json::object();
+  const bool first_teams = patch.is_object() && patch.contains(teams_field) && patch.at(teams_field).is_object() &&
+                           !out.contains(teams_field);
+  if (first_teams) out[teams_field] = teams_document(settings.teams);
+  out.merge_patch(patch);
+  return out;
+}
+
+Configuration configuration_of(ConfigurationVersion version, const json& document, const Settings& settings,
+                               const Policy& files) {
+  if (!document.is_object()) throw SettingsError("configuration: must be an object");
+  Configuration out{version, settings.teams, files};
+  for (const auto& [key, value] : document.items()) {
+    if (key != teams_field && key != properties_field) fail(key, "is not known");
+    if (!value.is_object()) fail(key, "must be an object");
+  }
+  if (document.contains(teams_field)) {
+    out.teams.clear();
+    for (const auto& [name, value] : document.at(teams_field).items()) out.teams.push_back(team_of(name, value));
+  }
+  if (document.contains(properties_field)) {
+    for (const auto& [name, value] : document.at(properties_field).items()) {
+      const std::string field = std::string{properties_field} + "." + name;
+      if (!changes_in_flight(name)) fail(field, "does not change while the service runs");
+      set_property(name, amount(value, field), out.policy);
+    }
+  }
+  check(settings, out.policy);
+  return out;
+}
+
+}  // namespace martenwall::config
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -180,8 +180,15 @@
 
 }  // namespace
 
-void apply_properties(const std::string& path, Policy& policy) {
+void set_property(const std::string& name, double value, Policy& policy) {
   const auto known = setters(policy);
+  const auto it = known.find(name);
+  if (it == known.end()) throw SettingsError("properties: unknown name '" + name + "'");
+  if (!std::isfinite(value) || value < 0) throw SettingsError("properties: '" + name + "' must not be negative");
+  it->second(value);
+}
+
+void apply_properties(const std::string& path, Policy& policy) {
   try {
     const Poco::AutoPtr<Poco::Util::PropertyFileConfiguration> file{new Poco::Util::PropertyFileConfiguration(path)};
     std::function<void(const std::string&)> walk = [&](const std::string& base) {
@@ -189,11 +196,7 @@
       file->keys(base, keys);
       for (const auto& k : keys) walk(base.empty() ? k : std::string{base}.append(".").append(k));
       if (base.empty() || !file->has(base)) return;
-      const auto it = known.find(base);
-      if (it == known.end()) throw SettingsError("properties: unknown name '" + base + "'");
-      const double v = file->getDouble(base);
-      if (!std::isfinite(v) || v < 0) throw SettingsError("properties: '" + base + "' must not be negative");
-      it->second(v);
+      set_property(base, file->getDouble(base), policy);
     };
     walk("");
   } catch (const Poco::Exception& e) {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -49,6 +49,8 @@
 Settings load_settings(const std::string& path);
 // Java-style properties; unknown names are errors, since a misspelt setting must not pass unseen.
 void apply_properties(const std::string& path, Policy& policy);
+// One of them; throws where there is no such name, or the value is negative.
+void set_property(const std::string& name, double value, Policy& policy);
 void check(const Settings& settings, const Policy& policy);
 
 }  // namespace martenwall::config
--- /dev/null
+++ b/src/core/configuration.hpp
@@ -0,0 +1,52 @@
+// The operators' configuration that may change while the service runs, and whether a node knows it well enough to
+// decide by it.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "core/model.hpp"
+#include "core/policy.hpp"
+
+namespace martenwall {
+
+using ConfigurationVersion = Strong<struct ConfigurationVersionTag, std::uint64_t>;
+
+// Version 0 is what the settings and properties files say.
+struct Configuration {
+  ConfigurationVersion version;
+  std::vector<Team> teams;
+  Policy policy;
+};
+
+// How long a version may be decided by after the last read that showed it to be the newest was sent. A change is in
+// force everywhere once this has passed since its commit: whoever has not read it decides nothing by then.
+constexpr Duration configuration_validity = seconds(5);
+
+enum class ConfigurationState {
+  unknown,   // not read since the process began
+  unused,    // there is none, and none can come without this node's word
+  followed,  // read again and again
+};
+std::string_view name_of(ConfigurationState s);
+
+class ConfigurationValidity {
+ public:
+  [[nodiscard]] ConfigurationState state() const { return state_; }
+  // A read that was sent then found none. Only of the reads that say so (docs/safety.md) it follows that none can come
+  // without this node's word.
+  void found_none(Time sent, bool none_can_come);
+  void found(Time sent);
+  void follow();  // this node gave its word
+  [[nodiscard]] bool follows() const { return state_ == ConfigurationState::followed; }
+  // Whether what rests on the configuration may be decided now.
+  [[nodiscard]] bool may_decide(Time now) const;
+
+ private:
+  void enter(ConfigurationState next);
+  ConfigurationState state_ = ConfigurationState::unknown;
+  std::optional<Time> confirmed_;  // the sending of the last read that was answered
+};
+
+}  // namespace martenwall
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -16,6 +16,7 @@
     const auto it = used_.find(team);
     return it == used_.end() ? Resources{} : it->second;
   }
+  [[nodiscard]] const std::map<std::string, Resources>& all() const { return used_; }
   // How many tasks of this need the team may add without passing its limit, or what is to be left free of it.
   [[nodiscard]] std::uint32_t room_for(const std::string& team, const Resources& need,
                                        const Resources& left = {}) const {
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -78,6 +78,7 @@
   JobId id;
   JobPhase phase = JobPhase::pending;
   std::uint32_t done = 0, running = 0;
+  std::string waits{};  // why nothing of it can start, where that lies with its team
 };
 
 // What is worth knowing of a machine by a new leader; no rule depends on it.
--- a/src/core/rounds.cpp
+++ b/src/core/rounds.cpp
@@ -186,6 +186,7 @@
 void Scheduler::round(Time now) {
   expire(now);
   judge_machines(now);
+  bring_down_to_limits(now);
   if (types_.empty()) return;
   auto board = make_board(now);
   work_ = {board.rows.size(), board.columns.size(), 0};
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -92,6 +92,7 @@
   // A final phase is told only once it is stored: until then the job is as it was before.
   if (is_final(s.phase) && job->final_stored) return s;
   s.phase = s.running > 0 ? JobPhase::running : JobPhase::pending;
+  if (s.running == 0) s.waits = why_it_waits(*job);
   return s;
 }
 
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduler.hpp
@@ -33,7 +33,8 @@
     std::uint32_t span_size = 40;     // in a row that names its run
     std::size_t group_size = 25;      // machines in one row
     std::size_t hires_in_line =
-        100;  // not answered yet; what is wanted beyond is planned anew when the line is shorter
+        100;                     // not answered yet; what is wanted beyond is planned anew when the line is shorter
+    bool limits_change = false;  // what is beyond a team's limit is brought down
     Token token;
     Time old_leader_until{};  // the last moment at which an earlier leader may have answered a worker
   };
@@ -88,6 +89,9 @@
   std::vector<MachineId> take_releases(Time now);
   void on_released(const std::vector<MachineId>& ids, Time now);
 
+  // The operators changed the configuration: from now on these hold.
+  void configure(const std::vector<Team>& teams, const Policy& policy);
+
   // One round: matching, preemption, fleet.
   void round(Time now);
   void expire(Time now);
@@ -126,6 +130,10 @@
   void count_late(Time now);
   [[nodiscard]] bool misses_last_time(const Job& job, Time now) const;
   [[nodiscard]] Urgency urgency_of(const Job& job) const;
+  [[nodiscard]] const Team* team_of(const std::string& name) const;  // nothing: not configured
+  void bring_down_to_limits(Time now);                               // scheduler_limits.cpp
+  void bring_down(const std::string& team, Time now);
+  [[nodiscard]] std::string why_it_waits(const Job& job) const;
   Generation mark(Job& job, std::uint32_t index, Duration delay, Time now);
   void mark(Machine& machine, Time now);
   std::pair<RowKey, Job::Part*> part_for(Job& job, std::uint32_t index);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "core/heuristic_table.hpp"
+#include "service/configuration_command.hpp"
 #include "service/node.hpp"
 
 namespace {
@@ -21,6 +22,42 @@
   return log;
 }
 
+void add_config_command(CLI::App& app, martenwall::service::ConfigurationCommand& command) {
+  using Ask = martenwall::wire::ConfigurationRequest::Ask;
+  auto* config = app.add_subcommand("config", "the configuration that changes while the service runs");
+  config->require_subcommand(1);
+  const auto add = [&](const char* name, const char* help, Ask ask) {
+    auto* sub = config->add_subcommand(name, help);
+    sub->add_option("--node", command.node, "address of any node for other controllers (cluster_listen)")->required();
+    sub->callback([&command, ask] { command.request.ask = ask; });
+    return sub;
+  };
+  add("get", "the version, the document and the teams in force at the node", Ask::get);
+  add("history", "the latest changes, the newest first", Ask::history);
+  auto* apply = add("apply", "apply a change", Ask::apply);
+  apply->add_option("file", command.file, "JSON merge patch of the document")->required();
+  apply->add_option("--by", command.request.by, "who changes it, for the history");
+  apply->add_flag("--dry-run", command.request.dry_run, "check it and tell what it would change");
+  apply->add_option_function<std::uint64_t>(
+      "--expect",
+      [&command](const std::uint64_t& v) { command.request.expected = martenwall::ConfigurationVersion{v}; },
+      "apply it only where this is the version");
+}
+
+int run_node(const std::string& config_path, const std::string& properties_path, bool check_only) {
+  auto settings = martenwall::config::load_settings(config_path);
+  martenwall::Policy policy;
+  if (!properties_path.empty()) martenwall::config::apply_properties(properties_path, policy);
+  martenwall::config::check(settings, policy);
+  if (check_only) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  martenwall::rt::Loop loop;
+  martenwall::service::Node node{loop, std::move(settings), policy, make_log()};
+  node.run();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -30,23 +67,23 @@
   std::string config_path;
   std::string properties_path;
   bool check_only = false;
-  app.add_option("--config", config_path, "settings file of the platform (JSON)")->required();
+  martenwall::service::ConfigurationCommand command;
+  app.add_option("--config", config_path, "settings file of the platform (JSON)");
   app.add_option("--properties", properties_path, "operators' own settings (Java-style properties)");
   app.add_flag("--check", check_only, "check the settings and exit");
   app.footer(martenwall::heuristics_help());
+  app.require_subcommand(0, 1);
+  add_config_command(app, command);
   CLI11_PARSE(app, argc, argv);
   try {
-    auto settings = martenwall::config::load_settings(config_path);
-    martenwall::Policy policy;
-    if (!properties_path.empty()) martenwall::config::apply_properties(properties_path, policy);
-    martenwall::config::check(settings, policy);
-    if (check_only) {
-      std::cout << "settings are valid\n";
-      return 0;
+    if (app.got_subcommand("config")) {
+      return static_cast<int>(martenwall::service::run_command(std::move(command), std::cout, std::cerr));
+    }
+    if (config_path.empty()) {
+      std::cerr << "--config is required\n";
+      return bad_settings;
     }
-    martenwall::rt::Loop loop;
-    martenwall::service::Node node{loop, std::move(settings), policy, make_log()};
-    node.run();
+    return run_node(config_path, properties_path, check_only);
   } catch (const martenwall::config::SettingsError& e) {
     std::cerr << e.what() << '\n';
     return bad_settings;
--- /dev/null
+++ b/src/service/configuration_changes.cpp
@@ -0,0 +1,292 @@
+#include "service/configuration_changes.hpp"
+
+#include <algorithm>
+
+#include "config/configuration_document.hpp"
+
+namespace martenwall::service {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration commit_gap = seconds(0.5);  // between commits: changes that come meanwhile share the next
+constexpr Duration commit_limit = seconds(8);
+constexpr Duration answer_limit = seconds(9.5);
+constexpr Duration store_limit = seconds(1);
+constexpr Duration try_again = seconds(0.2);
+constexpr std::size_t most_waiting = 1000;
+constexpr std::size_t most_together = 16;
+constexpr std::size_t kept_rows = 32;  // of changes
+constexpr std::size_t history_bytes = 48 * 1024;
+constexpr std::size_t longest_name = 80;
+
+wire::PeerReply failure(int status, const std::string& why) { return {status, json{{"error", why}}.dump(), {}}; }
+
+wire::PeerReply applied(ConfigurationVersion version, bool changed) {
+  return {200, json{{"version", version.value()}, {"changed", changed}}.dump(), {}};
+}
+
+wire::PeerReply outdated(ConfigurationVersion version) {
+  return {409, json{{"error", "the version is another"}, {"version", version.value()}}.dump(), {}};
+}
+
+}  // namespace
+
+rt::Task<wire::PeerReply> ConfigurationChanges::on_peer(wire::PeerRequest request) {
+  auto asked = wire::decode_configuration_request(request.body);
+  if (!asked) co_return failure(400, "not a request about the configuration");
+  using Ask = wire::ConfigurationRequest::Ask;
+  if (asked->ask == Ask::get) co_return co_await configuration_.tell();
+  if (asked->ask == Ask::history) co_return co_await history();
+  if (asked->ask == Ask::follow) {
+    const bool follows = co_await configuration_.follow();
+    co_return follows ? wire::PeerReply{200, "{}", {}} : failure(503, "the state service does not answer");
+  }
+  asked->by = asked->by.substr(0, longest_name);
+  if (asked->dry_run) co_return co_await try_out(std::move(*asked));
+  co_return co_await apply(std::move(*asked));
+}
+
+rt::Task<wire::PeerReply> ConfigurationChanges::apply(wire::ConfigurationRequest request) {
+  if (waiting_.size() >= most_waiting) co_return failure(503, "too many changes wait");
+  auto wanted = std::make_shared<Wanted>(ctx_.loop, std::move(request));
+  waiting_.push_back(wanted);
+  asked_.notify();
+  const Time until = ctx_.now() + answer_limit;
+  while (!wanted->reply && ctx_.now() < until) co_await wanted->answered.wait(until);
+  if (wanted->reply) co_return *wanted->reply;
+  if (std::erase(waiting_, wanted) > 0) co_return failure(503, "not begun in time");
+  co_return failure(504, "not known whether it was applied");
+}
+
+rt::Task<void> ConfigurationChanges::run() {
+  for (;;) {
+    if (waiting_.empty()) {
+      const Time until = ctx_.now() + seconds(60);
+      co_await asked_.wait(until);
+      continue;
+    }
+    const auto n = static_cast<std::ptrdiff_t>(std::min(waiting_.size(), most_together));
+    Batch batch{waiting_.begin(), waiting_.begin() + n};
+    waiting_.erase(waiting_.begin(), waiting_.begin() + n);
+    co_await commit(std::move(batch));
+    co_await ctx_.loop.sleep(commit_gap);
+  }
+}
+
+void ConfigurationChanges::answer(Wanted& wanted, wire::PeerReply reply) {
+  if (wanted.reply) return;
+  wanted.reply = std::move(reply);
+  wanted.answered.notify();
+}
+
+void ConfigurationChanges::answer_rest(Batch& batch, const wire::PeerReply& reply) {
+  for (auto& w : batch) answer(*w, reply);
+}
+
+rt::Task<ConfigurationChanges::Stored> ConfigurationChanges::read() {
+  Stored out;
+  const ReadResult r = co_await state_.get(wire::configuration_key, store_limit);
+  out.known = r.outcome == ReadOutcome::absent;
+  if (r.outcome != ReadOutcome::found) co_return out;
+  auto row = wire::decode_configuration(r.item.value);
+  out.known = row.has_value();
+  out.stamp = r.item.version;
+  if (row) out.row = std::move(*row);
+  co_return out;
+}
+
+// ---- what a change leads to ----
+
+std::optional<wire::ConfigurationRow> ConfigurationChanges::merge(Batch& batch, const wire::ConfigurationRow& before) {
+  wire::ConfigurationRow row = before;
+  for (auto& w : batch) {
+    w->version.reset();
+    if (w->reply) continue;
+    if (w->request.expected && *w->request.expected != row.version) {
+      answer(*w, outdated(row.version));
+      continue;
+    }
+    json document = config::patched(row.document, w->request.patch, ctx_.settings);
+    if (document == row.document) {
+      answer(*w, applied(row.version, false));
+      continue;
+    }
+    const ConfigurationVersion next{row.version.value() + 1};
+    try {
+      configuration_.require_valid(document);
+    } catch (const config::SettingsError& e) {
+      answer(*w, failure(400, e.what()));
+      continue;
+    }
+    const std::size_t size = document.dump().size();
+    if (size + longest_name * kept_rows > ctx_.limits.value_bytes()) {
+      answer(*w, failure(400,
+                         "the document would have " + std::to_string(size) + " bytes: too many for the state service"));
+      continue;
+    }
+    row.document = std::move(document);
+    row.version = next;
+    w->version = next;
+  }
+  return row.version == before.version ? std::nullopt : std::optional{std::move(row)};
+}
+
+rt::Task<wire::PeerReply> ConfigurationChanges::try_out(wire::ConfigurationRequest request) {
+  const Stored stored = co_await read();
+  if (!stored.known) co_return failure(503, "the state service does not answer");
+  Batch batch{std::make_shared<Wanted>(ctx_.loop, std::move(request))};
+  const auto row = merge(batch, stored.row);
+  if (!row) co_return *batch.front()->reply;
+  const json body{{"version", stored.row.version.value()}, {"before", stored.row.document}, {"after", row->document}};
+  co_return wire::PeerReply{200, body.dump(), {}};
+}
+
+// ---- committing ----
+
+// Until there is a configuration nobody reads it. Whoever makes the first has every node's word that it reads from now
+// on; the conditions fail where one of them was replaced by a new process, or began to lead, since it was asked.
+rt::Task<ConfigurationChanges::Fence> ConfigurationChanges::fence_first_change() {
+  Fence out;
+  if (ctx_.level < wire::this_level) {
+    out.why_not = "not all nodes run this version yet";
+    co_return out;
+  }
+  const auto stated = co_await state_.list("v/");
+  const ReadResult lead = co_await state_.get(wire::leader_key, store_limit);
+  if (!stated || lead.outcome != ReadOutcome::found) {
+    out.why_not = "the state service does not answer, or no node leads";
+    co_return out;
+  }
+  for (const auto& item : stated->items) out.when.push_back({item.key, item.version});
+  out.when.push_back({wire::leader_key, lead.item.version});
+  wire::ConfigurationRequest follow;
+  follow.ask = wire::ConfigurationRequest::Ask::follow;
+  for (const auto& peer : ctx_.settings.peers) {
+    const bool there = std::ranges::any_of(
+        stated->items, [&](const wire::StoreItem& i) { return i.key == wire::node_level_key(peer.node); });
+    wire::PeerRequest request{wire::PeerVerb::configuration, "", wire::encode_configuration_request(follow), {}};
+    const auto reply = co_await peers_.ask_node(peer.node, std::move(request), store_limit);
+    if (there && reply && reply->status == 200) continue;
+    out.why_not = "the first change needs the word of all nodes: " + peer.node + " does not answer, or cannot follow";
+    co_return out;
+  }
+  const bool follows = co_await configuration_.follow();
+  if (!follows) out.why_not = "the state service does not answer";
+  co_return out;
+}
+
+ConfigurationChanges::Transaction ConfigurationChanges::transaction_for(const Batch& batch, const Stored& before,
+                                                                        wire::ConfigurationRow after) {
+  Transaction t;
+  t.version = after.version;
+  t.mark = ctx_.settings.node + "-" + std::to_string(ctx_.random());
+  wire::ChangesRow changes{t.mark, {}};
+  for (const auto& w : batch) {
+    if (w->version) changes.changes.push_back({*w->version, Context::wall_ms(), w->request.by, w->request.patch});
+  }
+  after.mark = t.mark;
+  after.recorded.push_back(after.version);
+  if (after.recorded.size() > kept_rows) {
+    t.then.push_back({wire::changes_key(after.recorded.front()), std::nullopt, std::nullopt});
+    after.recorded.erase(after.recorded.begin());
+  }
+  t.when.push_back({wire::configuration_key, before.stamp});
+  t.then.push_back({wire::configuration_key, wire::encode_configuration(after), std::nullopt});
+  t.then.push_back({wire::changes_key(after.version), wire::encode_changes(changes), std::nullopt});
+  return t;
+}
+
+rt::Task<std::optional<bool>> ConfigurationChanges::was_committed(Transaction t) {
+  const Stored now = co_await read();
+  if (!now.known) co_return std::nullopt;
+  if (now.stamp != t.when.front().version) {
+    if (now.row.mark == t.mark) co_return true;
+    // Another came after it, or before: the row of its changes tells.
+    const ReadResult r = co_await state_.get(wire::changes_key(t.version), store_limit);
+    if (r.outcome == ReadOutcome::failed) co_return std::nullopt;
+    const auto changes = r.outcome == ReadOutcome::found ? wire::decode_changes(r.item.value) : std::nullopt;
+    co_return changes && changes->mark == t.mark;
+  }
+  co_return std::nullopt;
+}
+
+// The same transaction again and again until it is known what became of it: its conditions let at most one through.
+rt::Task<ConfigurationChanges::Outcome> ConfigurationChanges::carry_out(Transaction t, Time deadline) {
+  bool doubt = false;
+  while (ctx_.now() < deadline) {
+    auto when = t.when;
+    auto then = t.then;
+    const TxnResult r = co_await state_.txn(std::move(when), std::move(then), store_limit);
+    if (r.outcome == TxnOutcome::committed) co_return Outcome::committed;
+    if (r.outcome == TxnOutcome::conflict && !doubt) co_return Outcome::lost;
+    if (r.outcome == TxnOutcome::too_large) co_return Outcome::lost;
+    doubt = doubt || r.outcome == TxnOutcome::unknown;
+    if (doubt) {
+      const auto committed = co_await was_committed(t);
+      if (committed) co_return *committed ? Outcome::committed : Outcome::lost;
+      // Its first conditions hold still, others do not: none of its tries can come through any more.
+      if (r.outcome == TxnOutcome::conflict) co_return Outcome::lost;
+    }
+    co_await ctx_.loop.sleep(try_again);
+  }
+  co_return doubt ? Outcome::in_doubt : Outcome::lost;
+}
+
+rt::Task<void> ConfigurationChanges::commit(Batch batch) {
+  const Time deadline = ctx_.now() + commit_limit;
+  while (ctx_.now() < deadline) {
+    const Stored before = co_await read();
+    if (!before.known) {
+      co_await ctx_.loop.sleep(try_again);
+      continue;
+    }
+    auto after = merge(batch, before.row);
+    if (!after) co_return;
+    Fence fence;
+    if (before.stamp == Stamp{0}) fence = co_await fence_first_change();
+    if (!fence.why_not.empty()) {
+      answer_rest(batch, failure(503, fence.why_not));
+      co_return;
+    }
+    Transaction t = transaction_for(batch, before, std::move(*after));
+    t.when.insert(t.when.end(), fence.when.begin(), fence.when.end());
+    const Outcome outcome = co_await carry_out(std::move(t), deadline);
+    if (outcome == Outcome::committed) {
+      for (auto& w : batch) {
+        if (w->version) answer(*w, applied(*w->version, true));
+      }
+      co_await configuration_.read(false);
+      co_return;
+    }
+    if (outcome == Outcome::in_doubt) {
+      answer_rest(batch, failure(504, "not known whether it was applied"));
+      co_return;
+    }
+  }
+  answer_rest(batch, failure(503, "not committed in time: nothing was applied"));
+}
+
+// ---- history ----
+
+rt::Task<wire::PeerReply> ConfigurationChanges::history() {
+  const auto rows = co_await state_.list(wire::changes_prefix);
+  if (!rows) co_return failure(503, "the state service does not answer");
+  std::vector<wire::ConfigurationChange> changes;
+  for (const auto& item : rows->items) {
+    const auto row = wire::decode_changes(item.value);
+    if (row) changes.insert(changes.end(), row->changes.begin(), row->changes.end());
+  }
+  json list = json::array();
+  std::size_t bytes = 0;
+  for (auto c = changes.rbegin(); c != changes.rend(); ++c) {
+    json one{{"version", c->version.value()}, {"atMs", c->at_ms}, {"by", c->by}, {"patch", c->patch}};
+    bytes += one.dump().size();
+    if (bytes > history_bytes) break;
+    list.push_back(std::move(one));
+  }
+  co_return wire::PeerReply{200, json{{"changes", list}}.dump(), {}};
+}
+
+}  // namespace martenwall::service
--- /dev/null
+++ b/src/service/configuration_command.cpp
@@ -0,0 +1,99 @@
+#include "service/configuration_command.hpp"
+
+#include <fstream>
+#include <ostream>
+
+#include "service/peer_link.hpp"
+
+namespace martenwall::service {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration patience = seconds(12);
+
+std::optional<json> read_patch(const std::string& path, std::ostream& err) {
+  std::ifstream in{path};
+  if (!in) {
+    err << "config: cannot read '" << path << "'\n";
+    return std::nullopt;
+  }
+  json patch = json::parse(in, nullptr, false);
+  if (!patch.is_object()) {
+    err << "config: '" << path << "' must hold a JSON object\n";
+    return std::nullopt;
+  }
+  return patch;
+}
+
+rt::Task<void> ask(rt::Loop& loop, rt::Endpoint to, std::string frame, std::optional<wire::PeerReply>& reply,
+                   bool& over) {
+  const Time deadline = loop.now() + patience;
+  reply = co_await ask_once(loop, std::move(to), std::move(frame), deadline);
+  over = true;
+}
+
+void show_change(const json& body, std::ostream& out) {
+  out << "version " << body.at("version") << " would change:\n";
+  for (const auto& step : json::diff(body.at("before"), body.at("after"))) {
+    out << "  " << step.at("op").get<std::string>() << " " << step.at("path").get<std::string>();
+    if (step.contains("value")) out << " " << step.at("value").dump();
+    out << "\n";
+  }
+}
+
+void show(const wire::ConfigurationRequest& request, const json& body, std::ostream& out) {
+  using Ask = wire::ConfigurationRequest::Ask;
+  if (request.ask != Ask::apply || !body.contains("version")) {
+    out << body.dump(2) << "\n";
+  } else if (body.contains("after")) {
+    show_change(body, out);
+  } else {
+    const bool changed = body.value("changed", false);
+    out << (changed ? "applied: version " : "nothing to change: version ") << body.at("version") << "\n";
+  }
+}
+
+}  // namespace
+
+CommandExit run_command(ConfigurationCommand command, std::ostream& out, std::ostream& err) {
+  auto& request = command.request;
+  if (request.ask == wire::ConfigurationRequest::Ask::apply) {
+    auto patch = read_patch(command.file, err);
+    if (!patch) return CommandExit::bad_input;
+    request.patch = std::move(*patch);
+  }
+  auto to = rt::Endpoint::parse(command.node);
+  if (!to) {
+    err << "config: '" << command.node << "' is not an IPv4 address and a port\n";
+    return CommandExit::bad_input;
+  }
+  const wire::PeerRequest frame{wire::PeerVerb::configuration, "", wire::encode_configuration_request(request), {}};
+  std::string bytes = wire::encode_frame(frame);
+  if (bytes.size() > wire::max_peer_frame) {
+    err << "config: '" << command.file << "' is too large\n";
+    return CommandExit::bad_input;
+  }
+  rt::Loop loop;
+  std::optional<wire::PeerReply> reply;
+  bool over = false;
+  rt::spawn(ask(loop, std::move(*to), std::move(bytes), reply, over));
+  while (!over) loop.step();
+  const json body = reply ? wire::parse(reply->body) : json{};
+  if (!reply || !body.is_object()) {
+    err << "config: no answer from " << command.node << " (not reached, or of an older version)\n";
+    return CommandExit::in_doubt;
+  }
+  if (reply->status == 200) {
+    show(request, body, out);
+    return CommandExit::done;
+  }
+  err << "config: " << body.value("error", "refused");
+  if (body.contains("version")) err << " (it is " << body.at("version") << ")";
+  err << "\n";
+  constexpr int unknown_outcome = 504;
+  return reply->status == unknown_outcome ? CommandExit::in_doubt : CommandExit::refused;
+}
+
+}  // namespace martenwall::service
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "config/settings.hpp"
+#include "core/configuration.hpp"
 #include "core/leadership.hpp"
 #include "core/reach.hpp"
 #include "core/scheduler.hpp"
@@ -26,6 +27,7 @@
         settings(std::move(s)),
         policy(p),
         log(std::move(logger)),
+        configuration{ConfigurationVersion{0}, settings.teams, policy},
         limits(settings),
         legacy_size(legacy_size_for(settings.state_value_bytes)),
         leadership(policy, settings.workers),
@@ -40,6 +42,9 @@
   config::Settings settings;
   Policy policy;
   std::shared_ptr<spdlog::logger> log;
+  Configuration configuration;     // as far as this node knows; `policy` is its policy
+  ConfigurationValidity validity;  // of it
+  bool version_stated = false;     // this node's version is in the store
   StoreLimits limits;
   std::uint64_t level = 1;    // that all nodes are known to have reached
   std::uint32_t legacy_size;  // task indices in a row by number; once the level was raised, as stored with it
@@ -70,6 +75,10 @@
   // Read anew: the process may have stood still since the loop last looked at the clock, and what binds others must
   // not rest on the moment before.
   [[nodiscard]] bool proven() const { return scheduler != nullptr && leadership.proven(loop.refresh()); }
+  // What rests on the operators' configuration may be decided.
+  [[nodiscard]] bool may_decide() const { return validity.may_decide(loop.refresh()); }
+  // Tasks may be placed and started.
+  [[nodiscard]] bool may_start() const { return proven() && may_decide(); }
   // Stood still since its lease was last looked at: another node may lead by now.
   [[nodiscard]] bool just_woke() const { return lease_checked < loop.last_stall().ended; }
   void kick() {
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -152,7 +152,8 @@
   Scheduler::Setup setup;
   setup.policy = ctx_.policy;
   setup.terms = ctx_.settings.workers;
-  setup.teams = ctx_.settings.teams;
+  setup.teams = ctx_.configuration.teams;
+  setup.limits_change = ctx_.configuration.version > ConfigurationVersion{0};
   for (const auto& o : ctx_.settings.objectives) {
     if (o.kind == "wait") setup.aims.by_lane[o.lane].push_back(o.within_s);
     if (o.kind == "deadline") setup.aims.deadlines_by_lane[o.lane].push_back(o.times);
@@ -211,6 +212,10 @@
   // First: it tells where rows are, and only the leader raises it.
   const bool level_known = co_await levels_.read();
   if (!level_known || ctx_.term != term) co_return false;
+  // A first configuration is made only while the one leads whom its maker saw leading: none can come from here on
+  // without this node's word.
+  const bool configured = co_await configuration_.read(true);
+  if (!configured || ctx_.term != term) co_return false;
   Rows rows;
   const bool read = co_await read_rows(term, rows);
   if (!read) co_return false;
--- a/src/service/leader_store.hpp
+++ b/src/service/leader_store.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "service/configuration_service.hpp"
 #include "service/context.hpp"
 #include "service/job_rows.hpp"
 #include "service/level_service.hpp"
@@ -13,8 +14,9 @@
 
 class LeaderStore {
  public:
-  LeaderStore(Context& ctx, StateClient& state, JobRows& jobs, LevelService& levels)
-      : ctx_(ctx), state_(state), job_rows_(jobs), levels_(levels) {}
+  LeaderStore(Context& ctx, StateClient& state, JobRows& jobs, LevelService& levels,
+              ConfigurationService& configuration)
+      : ctx_(ctx), state_(state), job_rows_(jobs), levels_(levels), configuration_(configuration) {}
   rt::Task<void> run();
   void step_down(const char* why);
   // A job whose row was read or written under the leadership `term`.
@@ -74,6 +76,7 @@
   StateClient& state_;
   JobRows& job_rows_;
   LevelService& levels_;
+  ConfigurationService& configuration_;
   LeaseId lease_;
   Time lease_sent_{};
   Duration old_grace_{0};
--- a/src/service/level_service.cpp
+++ b/src/service/level_service.cpp
@@ -33,6 +33,7 @@
     if (stated) break;
     co_await ctx_.loop.sleep(look_every);
   }
+  ctx_.version_stated = true;
   ctx_.log->info("this node runs version {}, level {}", MARTENWALL_VERSION, wire::this_level);
   while (ctx_.level < wire::this_level) {
     co_await read();
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -43,11 +43,13 @@
       state_(ctx_),
       job_rows_(ctx_, state_),
       levels_(ctx_, state_),
-      store_(ctx_, state_, job_rows_, levels_),
+      configuration_(ctx_, state_),
+      store_(ctx_, state_, job_rows_, levels_, configuration_),
       workers_(ctx_, store_),
       cloud_(ctx_, state_),
       users_(ctx_, state_, store_, job_rows_),
       peers_(ctx_, [this](wire::PeerRequest r) { return route_peer(std::move(r)); }),
+      changes_(ctx_, state_, peers_, configuration_),
       reach_(ctx_, state_, store_, peers_),
       relay_(ctx_, peers_, workers_),
       server_(loop, *rt::Endpoint::parse(ctx_.settings.listen), bounds_of(ctx_.settings),
@@ -65,6 +67,8 @@
     ctx_.log->info("this node stood still for {:.1f} s ({})", to_seconds(s.length), name_of(ctx_.leadership.state()));
   });
   rt::spawn(levels_.run());
+  rt::spawn(configuration_.run());
+  rt::spawn(changes_.run());
   rt::spawn(store_.run());
   rt::spawn(workers_.run());
   rt::spawn(workers_.send_loop());
@@ -118,6 +122,7 @@
 rt::Task<wire::PeerReply> Node::route_peer(wire::PeerRequest request) {
   if (request.verb == wire::PeerVerb::stranded) co_return reach_.on_claim(request);
   if (request.verb == wire::PeerVerb::reports) co_return co_await relay_.on_reports(std::move(request));
+  if (request.verb == wire::PeerVerb::configuration) co_return co_await changes_.on_peer(std::move(request));
   if (request.verb == wire::PeerVerb::cloud) co_return co_await cloud_.on_peer(std::move(request));
   co_return co_await users_.on_peer(std::move(request));
 }
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -3,6 +3,8 @@
 #include "core/return_times.hpp"
 #include "runtime/http_server.hpp"
 #include "service/cloud_service.hpp"
+#include "service/configuration_changes.hpp"
+#include "service/configuration_service.hpp"
 #include "service/context.hpp"
 #include "service/job_rows.hpp"
 #include "service/leader_store.hpp"
@@ -38,11 +40,13 @@
   StateClient state_;
   JobRows job_rows_;
   LevelService levels_;
+  ConfigurationService configuration_;
   LeaderStore store_;
   WorkerService workers_;
   CloudService cloud_;
   UserService users_;
   PeerService peers_;
+  ConfigurationChanges changes_;
   ReachService reach_;
   RelayService relay_;
   rt::HttpServer server_;
--- /dev/null
+++ b/src/service/peer_link.cpp
@@ -0,0 +1,34 @@
+#include "service/peer_link.hpp"
+
+#include <array>
+
+namespace martenwall::service {
+
+rt::Task<std::optional<std::string>> read_frame(rt::Socket& socket, std::string& spare, Time deadline) {
+  std::array<char, 4096> buffer{};
+  for (;;) {
+    const auto size = wire::frame_size(spare);
+    if (size && *size > wire::max_peer_frame) co_return std::nullopt;
+    if (size && spare.size() >= *size + 4) {
+      std::string payload = spare.substr(4, *size);
+      spare.erase(0, *size + 4);
+      co_return std::optional<std::string>{std::move(payload)};
+    }
+    const long n = co_await socket.read_some(buffer.data(), buffer.size(), deadline);
+    if (n <= 0) co_return std::nullopt;
+    spare.append(buffer.data(), static_cast<std::size_t>(n));
+  }
+}
+
+rt::Task<std::optional<wire::PeerReply>> ask_once(rt::Loop& loop, rt::Endpoint to, std::string frame, Time deadline) {
+  auto socket = co_await rt::Socket::connect(loop, std::move(to), deadline);
+  if (!socket) co_return std::nullopt;
+  const bool sent = co_await socket->write_all(frame, deadline);
+  if (!sent) co_return std::nullopt;
+  std::string spare;
+  const auto payload = co_await read_frame(*socket, spare, deadline);
+  if (!payload) co_return std::nullopt;
+  co_return wire::decode_reply(*payload);
+}
+
+}  // namespace martenwall::service
--- /dev/null
+++ b/src/service/peer_link.hpp
@@ -0,0 +1,17 @@
+// Frames between controller nodes, and between an operator's command and a node, on a socket.
+#pragma once
+#include <optional>
+#include <string>
+
+#include "runtime/socket.hpp"
+#include "wire/peer_codec.hpp"
+
+namespace martenwall::service {
+
+// The payload of the next frame; `spare` holds what was read beyond it. Nothing at an error, the end or the deadline.
+rt::Task<std::optional<std::string>> read_frame(rt::Socket& socket, std::string& spare, Time deadline);
+
+// One request over a connection of its own.
+rt::Task<std::optional<wire::PeerReply>> ask_once(rt::Loop& loop, rt::Endpoint to, std::string frame, Time deadline);
+
+}  // namespace martenwall::service
--- a/src/service/peer_service.cpp
+++ b/src/service/peer_service.cpp
@@ -1,7 +1,8 @@
 #include "service/peer_service.hpp"
 
 #include <algorithm>
-#include <array>
+
+#include "service/peer_link.hpp"
 
 namespace martenwall::service {
 
@@ -26,22 +27,6 @@
   }
 }
 
-rt::Task<std::optional<std::string>> PeerService::read_frame(rt::Socket& socket, std::string& spare, Time deadline) {
-  std::array<char, 4096> buffer{};
-  for (;;) {
-    const auto size = wire::frame_size(spare);
-    if (size && *size > wire::max_peer_frame) co_return std::nullopt;
-    if (size && spare.size() >= *size + 4) {
-      std::string payload = spare.substr(4, *size);
-      spare.erase(0, *size + 4);
-      co_return std::optional<std::string>{std::move(payload)};
-    }
-    const long n = co_await socket.read_some(buffer.data(), buffer.size(), deadline);
-    if (n <= 0) co_return std::nullopt;
-    spare.append(buffer.data(), static_cast<std::size_t>(n));
-  }
-}
-
 rt::Task<void> PeerService::connection(rt::Socket socket) {
   ++open_;
   std::string spare;
--- a/src/service/peer_service.hpp
+++ b/src/service/peer_service.hpp
@@ -34,7 +34,6 @@
  private:
   rt::Task<void> ping(std::size_t peer);
   rt::Task<void> connection(rt::Socket socket);
-  rt::Task<std::optional<std::string>> read_frame(rt::Socket& socket, std::string& spare, Time deadline);
   rt::Task<std::optional<wire::PeerReply>> ask(std::string addr, std::string frame, Time deadline);
 
   Context& ctx_;
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -77,9 +77,18 @@
 }
 
 rt::Task<ReadResult> StateClient::get(std::string key, Duration timeout) {
-  ReadResult out;
   const bool admitted = co_await admit(0, timeout);
-  if (!admitted) co_return out;
+  if (!admitted) co_return ReadResult{};
+  co_return co_await read(std::move(key), timeout);
+}
+
+rt::Task<ReadResult> StateClient::get_at_once(std::string key, Duration timeout) {
+  requests_.take(1, 0, ctx_.now());
+  co_return co_await read(std::move(key), timeout);
+}
+
+rt::Task<ReadResult> StateClient::read(std::string key, Duration timeout) {
+  ReadResult out;
   const rt::HttpResult r = co_await send("GET", "/store/" + key, "", timeout);
   if (r.outcome != rt::Outcome::answered) co_return out;
   if (r.status == 404) out.outcome = ReadOutcome::absent;
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -29,6 +29,8 @@
  public:
   explicit StateClient(Context& ctx);
   rt::Task<ReadResult> get(std::string key, Duration timeout);
+  // Goes before all that waits for this node's share; for the few reads that decisions wait for.
+  rt::Task<ReadResult> get_at_once(std::string key, Duration timeout);
   rt::Task<std::optional<wire::StorePage>> list(std::string prefix);  // all pages
   rt::Task<std::optional<wire::StorePage>> page(std::string prefix, std::string after);
   // Users' submissions and the like go before the leader's rows, which wait in line.
@@ -52,6 +54,7 @@
   rt::Task<WatchResult> watch(std::string prefix, Revision after, Duration hold);
 
  private:
+  rt::Task<ReadResult> read(std::string key, Duration timeout);
   static constexpr double renewal_reserve = 4;  // requests kept for lease renewals
   // `keep`: requests that others may need more. False where the share is so far overdrawn that the caller should not
   // wait.
--- a/src/service/user_service.cpp
+++ b/src/service/user_service.cpp
@@ -39,7 +39,7 @@
 
 UserService::Fit UserService::can_run(const JobSpec& spec, std::string& why) const {
   const Team* team = nullptr;
-  for (const auto& t : ctx_.settings.teams) {
+  for (const auto& t : ctx_.configuration.teams) {
     if (t.name == spec.team) team = &t;
   }
   why = "unknown team";
@@ -79,6 +79,12 @@
   }
   JobSpec spec = std::get<JobSpec>(std::move(parsed));
   if (const auto over = ctx_.finals.find(spec.id)) co_return answer(200, *over);
+  if (!ctx_.may_decide()) {
+    // By which limits it is judged is not known now; one that was accepted stays so.
+    const Finding known = co_await read_status(spec.id);
+    if (known.known == Known::yes) co_return answer(200, known.status);
+    co_return later("the configuration in force is not known now");
+  }
   std::string why;
   const auto fit = can_run(spec, why);
   if (fit == Fit::unknown) co_return later(why.c_str());
@@ -372,12 +378,14 @@
   for (const auto& q : questions) request.jobs.push_back(q->id.value());
   const auto reply = co_await peers_->ask_leader(std::move(request), forward_limit);
   if (!reply || reply->statuses.size() != questions.size()) co_return;
+  auto reasons = wire::parse_reasons(reply->body);
   Questions left;
   for (std::size_t i = 0; i < questions.size(); ++i) {
     const auto& s = reply->statuses[i];
     questions[i]->unknown_to_leader = !s.known;
     if (s.known) {
-      settle(*questions[i], {Known::yes, {questions[i]->id, static_cast<JobPhase>(s.phase), s.done, s.running}});
+      const JobId& id = questions[i]->id;
+      settle(*questions[i], {Known::yes, {id, static_cast<JobPhase>(s.phase), s.done, s.running, reasons[id]}});
     } else {
       left.push_back(questions[i]);
     }
@@ -503,11 +511,14 @@
   if (!ctx_.proven()) co_return wire::PeerReply{421, "{}", {}};
   if (request.verb == wire::PeerVerb::statuses) {
     wire::PeerReply reply{200, "", {}};
+    std::map<JobId, std::string> reasons;
     for (const auto& id : request.jobs) {
       const auto known = from_memory(JobId{id});
       const auto s = known ? known->status : JobStatus{};
+      if (!s.waits.empty()) reasons.emplace(id, s.waits);
       reply.statuses.push_back({known.has_value(), static_cast<std::uint8_t>(s.phase), s.done, s.running});
     }
+    reply.body = wire::encode_reasons(reasons);
     co_return reply;
   }
   if (!wire::valid_job_id(request.job)) co_return wire::PeerReply{404, "{}", {}};
--- a/src/service/worker_service.cpp
+++ b/src/service/worker_service.cpp
@@ -36,7 +36,7 @@
   }
   if (ctx_.scheduler->is_gone(report.machine)) return {ReportAnswer::Kind::gone, {}};
   ReportAnswer out{ReportAnswer::Kind::orders, {}};
-  out.orders = ctx_.scheduler->on_report(report, ReportSource::beat, now, ctx_.leadership.proven(now));
+  out.orders = ctx_.scheduler->on_report(report, ReportSource::beat, now, ctx_.may_start());
   if (ctx_.scheduler->leaves_unanswered(report.machine)) return {ReportAnswer::Kind::gone, {}};
   // From here its lease may be renewed. It counts from the sending of the report, which lies before this moment,
   // however long the answer takes and whichever node hands it over.
@@ -68,7 +68,7 @@
       continue;
     }
     const Time before = ctx_.loop.refresh();
-    const bool rounds = ctx_.proven();
+    const bool rounds = ctx_.may_start();
     if (rounds) ctx_.scheduler->round(ctx_.now());
     const Duration spent = ctx_.loop.refresh() - before;
     if (rounds) ctx_.metrics.rounds.observe(spent);
@@ -84,7 +84,7 @@
   for (;;) {
     const Time until = ctx_.now() + seconds(0.5);
     co_await ctx_.flushed.wait(until);
-    if (!ctx_.proven()) continue;
+    if (!ctx_.may_start()) continue;
     if (announced != ctx_.term) {
       announced = ctx_.term;
       rt::spawn(announce_all(ctx_.term));
@@ -110,7 +110,7 @@
     ctx_.log->info("direct command to {} unanswered: it may still be executed", batch.machine.value());
   }
   if (report && report->token <= ctx_.leadership.token()) {
-    ctx_.scheduler->on_report(*report, ReportSource::direct, ctx_.now(), ctx_.proven());
+    ctx_.scheduler->on_report(*report, ReportSource::direct, ctx_.now(), ctx_.may_start());
   }
   ctx_.kick();
 }
@@ -148,7 +148,7 @@
       store_.step_down("a worker has seen a higher token");
       co_return;
     }
-    ctx_.scheduler->on_report(*report, ReportSource::direct, ctx_.now(), ctx_.proven());
+    ctx_.scheduler->on_report(*report, ReportSource::direct, ctx_.now(), ctx_.may_start());
     ctx_.kick();
     if (r.status == 200) co_return;
     batch.session = report->session;  // 409: it has begun another session meanwhile
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -50,7 +50,8 @@
   auto t = unpack<std::tuple<std::uint8_t, std::string, std::string, std::vector<std::string>>>(payload);
   if (!t) return std::nullopt;
   auto& [verb, job, body, jobs] = *t;
-  if (verb < 1 || verb > 9 || verb == 2) return std::nullopt;  // 2: single questions, no longer asked
+  if (verb < 1 || verb > static_cast<std::uint8_t>(PeerVerb::configuration) || verb == 2)
+    return std::nullopt;  // 2: single questions, no longer asked
   return PeerRequest{static_cast<PeerVerb>(verb), std::move(job), std::move(body), std::move(jobs)};
 }
 
--- a/src/wire/peer_codec.hpp
+++ b/src/wire/peer_codec.hpp
@@ -16,7 +16,8 @@
   stranded = 6,
   cloud = 7,
   submit_chained = 8,
-  reports = 9
+  reports = 9,
+  configuration = 10
 };
 
 struct PeerRequest {
@@ -30,6 +31,8 @@
                                     // `cloud`: `job` is method and target of a request to be passed on
                                     // `reports`: `body` is a batch of workers' reports (report_codec.hpp); only sent
                                     // to a node whose answer to a ping says that it takes them
+                                    // `configuration`: `body` is a request of configuration_codec.hpp; older versions
+                                    // close the connection
 };
 
 // What the leader knows of a job from memory; not known: the store has to be asked.
--- a/src/wire/user_codec.cpp
+++ b/src/wire/user_codec.cpp
@@ -149,11 +149,29 @@
 }
 
 std::string encode_status(const JobStatus& s) {
-  return json{{"ref", s.id.value()},
-              {"phase", phases.at(static_cast<std::size_t>(s.phase))},
-              {"done", s.done},
-              {"running", s.running}}
-      .dump();
+  json body{{"ref", s.id.value()},
+            {"phase", phases.at(static_cast<std::size_t>(s.phase))},
+            {"done", s.done},
+            {"running", s.running}};
+  if (!s.waits.empty()) body["waits"] = s.waits;
+  return body.dump();
+}
+
+std::string encode_reasons(const std::map<JobId, std::string>& reasons) {
+  if (reasons.empty()) return {};
+  json body = json::object();
+  for (const auto& [id, why] : reasons) body[id.value()] = why;
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::map<JobId, std::string> parse_reasons(const std::string& encoded) {
+  std::map<JobId, std::string> out;
+  if (encoded.empty()) return out;
+  const json body = parse(encoded);
+  for (const auto& [id, why] : body.items()) {
+    if (why.is_string()) out.emplace(id, why.get<std::string>());
+  }
+  return out;
 }
 
 std::string encode_error(const std::string& why) {
--- /dev/null
+++ b/tests/configuration_test.cpp
@@ -0,0 +1,339 @@
+// The configuration that changes while the service runs: its document, who may decide by it, and its hard cases on
+// whole nodes.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "config/configuration_document.hpp"
+#include "region/busy.hpp"
+#include "wire/configuration_codec.hpp"
+#include "wire/user_codec.hpp"
+
+namespace martenwall {
+namespace {
+
+using nlohmann::json;
+using region::Busy;
+using region::Region;
+using Ask = wire::ConfigurationRequest::Ask;
+
+Time at(double s) { return Time{seconds(s)}; }
+
+// ---- the document ----
+
+config::Settings settings() {
+  config::Settings s;
+  s.teams = {{"red", {0, 16, 0}, {0, 72, 0}}, {"blue", {0, 8, 0}, {0, 0, 0}}};
+  s.workers = {2, 10, 30, 3, 24};
+  return s;
+}
+
+std::string error_of(const json& document) {
+  try {
+    config::configuration_of(ConfigurationVersion{1}, document, settings(), Policy{});
+  } catch (const config::SettingsError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(configuration, an_error_names_the_field) {
+  const auto names = [](const json& document, const std::string& field) {
+    const auto error = error_of(document);
+    return error.find("'" + field + "'") != std::string::npos;
+  };
+  EXPECT_TRUE(names({{"teems", json::object()}}, "teems"));
+  EXPECT_TRUE(names({{"teams", 3}}, "teams"));
+  EXPECT_TRUE(names({{"teams", {{"red", 3}}}}, "teams.red"));
+  EXPECT_TRUE(names({{"teams", {{"red", {{"gpus_max", -1}}}}}}, "teams.red.gpus_max"));
+  EXPECT_TRUE(names({{"teams", {{"red", {{"gpus_max", "4"}}}}}}, "teams.red.gpus_max"));
+  EXPECT_TRUE(names({{"teams", {{"red", {{"gpu", 4}}}}}}, "teams.red.gpu"));
+  EXPECT_TRUE(names({{"properties", {{"workers.relay", 1}}}}, "properties.workers.relay"));
+  EXPECT_TRUE(names({{"properties", {{"scheduler.agin", 1}}}}, "scheduler.agin"));
+  EXPECT_TRUE(names({{"properties", {{"scheduler.round.seconds", 0.001}}}}, "scheduler.round.seconds"));
+  EXPECT_EQ("", error_of({{"teams", {{"red", {{"gpus_max", 4}}}}}, {"properties", {{"scheduler.aging.weight", 1}}}}));
+}
+
+TEST(configuration, a_patch_changes_what_it_names) {
+  const json none = json::object();
+  const json lowered = config::patched(none, {{"teams", {{"red", {{"gpus_max", 40}}}}}}, settings());
+  const auto c = config::configuration_of(ConfigurationVersion{1}, lowered, settings(), Policy{});
+  ASSERT_EQ(2U, c.teams.size()) << "the settings' other team stays";
+  const auto red = std::ranges::find(c.teams, "red", &Team::name);
+  EXPECT_EQ(40, red->limit.gpus);
+  EXPECT_EQ(16, red->guarantee.gpus);
+  const json gone = config::patched(lowered, {{"teams", {{"blue", nullptr}}}}, settings());
+  EXPECT_EQ(1U, config::configuration_of(ConfigurationVersion{2}, gone, settings(), Policy{}).teams.size());
+  const json back = config::patched(gone, {{"teams", nullptr}}, settings());
+  EXPECT_EQ(none, back) << "the settings' teams hold again";
+}
+
+RC_GTEST_PROP(configuration, rows_and_requests_are_read_as_they_were_written, ()) {
+  const auto number = [] { return ConfigurationVersion{*rc::gen::inRange<std::uint64_t>(1, 1'000'000)}; };
+  wire::ConfigurationRow row{number(), {{"teams", {{"red", {{"gpus", 1}}}}}}, *rc::gen::string<std::string>(), {}};
+  row.mark = std::to_string(*rc::gen::arbitrary<int>());
+  row.recorded = {number(), number()};
+  const auto read = wire::decode_configuration(wire::encode_configuration(row));
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(read->version == row.version && read->document == row.document && read->recorded == row.recorded);
+  wire::ConfigurationRequest request;
+  request.ask = *rc::gen::element(Ask::get, Ask::apply, Ask::history, Ask::follow);
+  request.patch = {{"properties", json::object()}};
+  if (*rc::gen::arbitrary<bool>()) request.expected = number();
+  request.dry_run = *rc::gen::arbitrary<bool>();
+  const auto asked = wire::decode_configuration_request(wire::encode_configuration_request(request));
+  RC_ASSERT(asked.has_value());
+  RC_ASSERT(asked->ask == request.ask && asked->expected == request.expected && asked->patch == request.patch);
+}
+
+TEST(configuration, keys_of_changes_stand_in_their_order) {
+  EXPECT_LT(wire::changes_key(ConfigurationVersion{9}), wire::changes_key(ConfigurationVersion{10}));
+}
+
+// ---- who may decide ----
+
+TEST(configuration, nothing_is_decided_by_one_that_may_be_outdated) {
+  ConfigurationValidity v;
+  EXPECT_FALSE(v.may_decide(at(1))) << "not read yet";
+  v.found_none(at(1), false);
+  EXPECT_FALSE(v.may_decide(at(1))) << "one may come unseen";
+  v.found_none(at(2), true);
+  EXPECT_TRUE(v.may_decide(at(1000))) << "none can come without this node's word";
+  v.follow();
+  EXPECT_FALSE(v.may_decide(at(1000)));
+  v.found(at(1000));
+  EXPECT_TRUE(v.may_decide(at(1004.9)));
+  EXPECT_FALSE(v.may_decide(at(1005.1)));
+  v.found_none(at(1010), true);
+  EXPECT_TRUE(v.follows()) << "once followed, always";
+  EXPECT_EQ(ConfigurationState::followed, v.state());
+}
+
+// ---- whole nodes ----
+
+wire::ConfigurationRequest change(json patch, std::optional<std::uint64_t> expected = {}) {
+  wire::ConfigurationRequest r;
+  r.ask = Ask::apply;
+  r.patch = std::move(patch);
+  if (expected) r.expected = ConfigurationVersion{*expected};
+  r.by = "operator";
+  return r;
+}
+
+json red(double gpus_max) { return {{"teams", {{"red", {{"gpus_max", gpus_max}}}}}}; }
+constexpr Duration in_force = seconds(8);
+
+// Applies it and tells the judge.
+void lower(Region& r, std::size_t node, double gpus_max) {
+  r.rules().change_limits({{"red", {0, 16, 0}, {0, gpus_max, 0}}}, r.now(), in_force);
+  const auto reply = r.configure(node, change(red(gpus_max)));
+  ASSERT_TRUE(reply);
+  ASSERT_EQ(200, reply->status) << reply->body;
+}
+
+bool all_have(const Region& r, std::uint64_t version) {
+  for (std::size_t c = 0; c < r.controllers(); ++c) {
+    if (r.runs(c) && r.context(c).configuration.version != ConfigurationVersion{version}) return false;
+  }
+  return true;
+}
+
+double gpus_on_machines(Region& r) {
+  double sum = 0;
+  for (const auto& [id, work] : r.rules().works()) {
+    sum += static_cast<double>(r.rules().on_machines(id).size()) * work.spec.need.gpus;
+  }
+  return sum;
+}
+
+TEST(configuration, costs_nothing_where_it_is_not_used) {
+  Busy b{201};
+  const auto reads = b.r.store().reads_of(wire::configuration_key);
+  EXPECT_LE(reads, 4U) << "one a process, one a leader";
+  b.r.run(60);
+  EXPECT_EQ(reads, b.r.store().reads_of(wire::configuration_key));
+}
+
+TEST(configuration, the_first_change_needs_the_word_of_all_nodes) {
+  Busy b{202};
+  Region& r = b.r;
+  const auto other = r.others_of(b.old, 1);
+  r.kill(other);
+  const auto refused = r.configure(b.old, change(red(900)));
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(503, refused->status) << refused->body;
+  EXPECT_FALSE(r.store().has(wire::configuration_key));
+  r.start(other);
+  r.run(3);
+  const auto applied = r.configure(r.others_of(b.old, 2), change(red(900)));
+  ASSERT_TRUE(applied);
+  EXPECT_EQ(200, applied->status) << applied->body;
+  EXPECT_TRUE(r.run_until(2, [&] { return all_have(r, 1); }));
+  // Later ones need nobody's; a node that begins anew finds it.
+  r.kill(other);
+  ASSERT_EQ(200, r.configure(b.old, change(red(901)))->status);
+  r.start(other);
+  EXPECT_TRUE(r.run_until(3, [&] { return all_have(r, 2); }));
+  b.ends_well(300);
+}
+
+TEST(configuration, a_limit_lowered_below_what_runs) {
+  Busy b{203, {}, 60};
+  Region& r = b.r;
+  EXPECT_EQ(24, gpus_on_machines(r));
+  lower(r, b.old, 10);
+  EXPECT_TRUE(r.run_until(8, [&] { return gpus_on_machines(r) <= 10; })) << "what is beyond is brought down";
+  r.run(20);
+  EXPECT_LE(gpus_on_machines(r), 10);
+  EXPECT_GE(gpus_on_machines(r), 9) << "and no more than that";
+  r.rules().change_limits({{"red", {0, 16, 0}, {0, 1000, 0}}}, r.now(), in_force);
+  ASSERT_EQ(200, r.configure(b.old, change(red(1000)))->status);
+  EXPECT_TRUE(r.run_until(20, [&] { return gpus_on_machines(r) >= 20; })) << "raised again, the rest goes on";
+  b.ends_well(400);
+}
+
+TEST(configuration, a_gang_beyond_the_limit_is_stopped_whole) {
+  Region r{204, {}};
+  JobSpec gang;
+  gang.shape = Shape::gang;
+  gang.tasks = 3;
+  gang.need = {1, 4, 8};
+  ASSERT_TRUE(r.run_until(20, [&] { return r.leader().has_value(); }));
+  const JobId id = r.submit(gang, 60);
+  ASSERT_TRUE(r.run_until(30, [&] { return r.rules().on_machines(id).size() == 3; }));
+  lower(r, *r.leader(), 8);
+  EXPECT_TRUE(r.run_until(8, [&] { return r.rules().on_machines(id).empty(); }));
+  const auto status = r.request(*r.leader(), "GET", "/api/jobs/" + id.value(), "");
+  EXPECT_EQ(200, status.status);
+  EXPECT_EQ("needs more than the limit of team red", json::parse(status.body).value("waits", ""));
+  r.rules().change_limits({{"red", {0, 16, 0}, {0, 1000, 0}}}, r.now(), in_force);
+  ASSERT_EQ(200, r.configure(*r.leader(), change({{"teams", nullptr}}))->status);
+  r.rules().all_troubles_over(r.now());
+  EXPECT_TRUE(r.run_until(200, [&] { return r.all_over(); }));
+  EXPECT_EQ("", r.breaches());
+}
+
+TEST(configuration, a_team_that_is_removed_keeps_its_jobs_known) {
+  Busy b{205, {}, 60};
+  Region& r = b.r;
+  r.rules().change_limits({}, r.now(), in_force);
+  ASSERT_EQ(200, r.configure(b.old, change({{"teams", {{"red", nullptr}}}}))->status);
+  EXPECT_TRUE(r.run_until(10, [&] { return gpus_on_machines(r) == 0; }));
+  for (std::size_t c = 0; c < r.controllers(); ++c) {
+    const auto& id = b.jobs.front();
+    const auto poll = r.request(c, "GET", "/api/jobs/" + id.value(), "");
+    EXPECT_EQ(200, poll.status);
+    EXPECT_EQ("team red is not configured", json::parse(poll.body).value("waits", "")) << "told by every node";
+    r.submit_again(id, c);
+  }
+  r.run(3);
+  EXPECT_EQ("", r.breaches()) << "a repeat is not refused";
+  r.rules().change_limits({{"red", {0, 16, 0}, {0, 1000, 0}}}, r.now(), in_force);
+  ASSERT_EQ(200, r.configure(b.old, change({{"teams", {{"red", {{"gpus", 16}, {"gpus_max", 1000}}}}}}))->status);
+  b.ends_well(400);
+}
+
+TEST(configuration, the_leader_ends_between_commit_and_force) {
+  for (std::uint64_t seed : {206, 207, 208}) {
+    Busy b{seed, {}, 60};
+    Region& r = b.r;
+    ASSERT_EQ(200, r.configure(b.old, change(red(999)))->status);
+    r.rules().change_limits({{"red", {0, 16, 0}, {0, 10, 0}}}, r.now(), in_force);
+    const auto follower = r.others_of(b.old, 1);
+    bool killed = false;
+    r.store().on_commit = [&](const json& txn, bool) { killed = killed || region::sets(txn, wire::configuration_key); };
+    r.configure_later(follower, change(red(10)));
+    ASSERT_TRUE(r.run_until(10, [&] { return killed; }));
+    r.kill_for(b.old, 2);
+    r.store().on_commit = nullptr;
+    EXPECT_TRUE(r.run_until(15, [&] { return r.leader() && gpus_on_machines(r) <= 10; }));
+    EXPECT_TRUE(r.run_until(5, [&] { return all_have(r, 2); })) << "the new process too";
+    r.rules().change_limits({{"red", {0, 16, 0}, {0, 1000, 0}}}, r.now(), in_force);
+    ASSERT_EQ(200, r.configure(follower, change(red(1000)))->status);
+    b.ends_well(400);
+  }
+}
+
+TEST(configuration, a_change_in_doubt_is_applied_once_and_told) {
+  for (const double late : {0.0, 3.0}) {
+    Busy b{static_cast<std::uint64_t>(210 + late)};
+    Region& r = b.r;
+    ASSERT_EQ(200, r.configure(b.old, change(red(999)))->status);
+    r.store().make_late([](std::size_t, const json& txn) { return region::sets(txn, wire::configuration_key); },
+                        seconds(late));
+    const auto reply = r.configure(b.old, change(red(500)));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(200, reply->status) << reply->body;
+    EXPECT_EQ(2, json::parse(reply->body).at("version"));
+    r.run(8);
+    EXPECT_TRUE(all_have(r, 2)) << "once, whenever its first try came through";
+    EXPECT_EQ(1U, r.store().late() + r.store().late_refused());
+    b.ends_well(300);
+  }
+}
+
+TEST(configuration, changes_that_race_are_applied_one_after_the_other) {
+  Busy b{214};
+  Region& r = b.r;
+  ASSERT_EQ(200, r.configure(b.old, change(red(999)))->status);
+  const auto outdated = r.configure(b.old, change(red(5), 0));
+  EXPECT_EQ(409, outdated->status);
+  EXPECT_EQ(1, json::parse(outdated->body).at("version"));
+  for (std::size_t c = 0; c < r.controllers(); ++c) {
+    for (int i = 0; i < 5; ++i) {
+      const double weight = 0.1 * (1 + static_cast<double>(c)) + 0.01 * i;
+      const json patch{{"properties", {{"scheduler.aging.weight", weight}}}};
+      r.configure_later(c, change(patch));
+    }
+  }
+  EXPECT_TRUE(r.run_until(8, [&] { return all_have(r, 16); })) << "fifteen more, none lost, none twice";
+  wire::ConfigurationRequest history;
+  history.ask = Ask::history;
+  const auto told = json::parse(r.configure(b.old, history)->body).at("changes");
+  ASSERT_EQ(16U, told.size());
+  for (std::size_t i = 0; i < told.size(); ++i) EXPECT_EQ(16 - i, told[i].at("version"));
+  EXPECT_LT(r.store().reads_of(wire::configuration_key), 200U);
+  b.ends_well(300);
+}
+
+TEST(configuration, invalid_or_tried_changes_leave_the_version) {
+  Busy b{215};
+  Region& r = b.r;
+  ASSERT_EQ(200, r.configure(b.old, change(red(999)))->status);
+  const auto bad = r.configure(b.old, change(red(-1)));
+  EXPECT_EQ(400, bad->status);
+  EXPECT_NE(std::string::npos, bad->body.find("teams.red.gpus_max"));
+  auto tried = change(red(7));
+  tried.dry_run = true;
+  const auto dry = json::parse(r.configure(b.old, tried)->body);
+  EXPECT_EQ(7, dry.at("after").at("teams").at("red").at("gpus_max"));
+  EXPECT_EQ(200, r.configure(b.old, change(red(999)))->status) << "nothing to change";
+  r.run(5);
+  EXPECT_TRUE(all_have(r, 1));
+}
+
+TEST(configuration, a_node_that_cannot_know_decides_nothing) {
+  Busy b{216};
+  Region& r = b.r;
+  ASSERT_EQ(200, r.configure(b.old, change(red(999)))->status);
+  const auto cut = r.others_of(b.old, 1);
+  r.store().trouble(cut).refuses_until = r.now() + seconds(20);
+  ASSERT_EQ(200, r.configure(b.old, change({{"teams", {{"green", {{"gpus_max", 4}}}}}}))->status);
+  JobSpec spec;
+  spec.id = JobId{"job-900001"};
+  spec.team = "green";
+  spec.tasks = 1;
+  spec.need = {1, 1, 8};
+  spec.lane = "x";
+  spec.image = "img";
+  const std::string body = wire::encode_job(spec).dump();
+  r.run(5.5);
+  EXPECT_EQ(503, r.request(cut, "POST", "/api/jobs", body).status) << "neither 422 nor taken";
+  EXPECT_FALSE(r.context(cut).may_decide());
+  r.run(20);
+  EXPECT_TRUE(r.context(cut).may_decide());
+  EXPECT_TRUE(all_have(r, 2));
+  b.ends_well(300);
+}
+
+}  // namespace
+}  // namespace martenwall
--- a/tests/region/region.cpp
+++ b/tests/region/region.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 
+#include "service/peer_link.hpp"
 #include "wire/user_codec.hpp"
 
 namespace martenwall::region {
@@ -302,6 +303,26 @@
   }
 }
 
+rt::Task<void> Region::ask_peer(std::size_t at, wire::ConfigurationRequest request, std::shared_ptr<Asked> asked) {
+  constexpr double patience = 12;
+  const wire::PeerRequest frame{wire::PeerVerb::configuration, "", wire::encode_configuration_request(request), {}};
+  rt::Endpoint to = *rt::Endpoint::parse(at_port(controllers_.at(at).process->node->peers_port()));
+  const Time deadline = loop_.now() + seconds(patience);
+  asked->reply = co_await service::ask_once(loop_, std::move(to), wire::encode_frame(frame), deadline);
+  asked->over = true;
+}
+
+void Region::configure_later(std::size_t at, wire::ConfigurationRequest request) {
+  rt::spawn(ask_peer(at, std::move(request), std::make_shared<Asked>()));
+}
+
+std::optional<wire::PeerReply> Region::configure(std::size_t at, wire::ConfigurationRequest request) {
+  const auto asked = std::make_shared<Asked>();
+  rt::spawn(ask_peer(at, std::move(request), asked));
+  run_until(13, [&] { return asked->over; });
+  return asked->reply;
+}
+
 // ---- users ----
 
 JobId Region::submit(JobSpec spec, double run_s) {
--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -11,6 +11,7 @@
 
 #include "service/node.hpp"
 #include "store.hpp"
+#include "wire/configuration_codec.hpp"
 #include "worker.hpp"
 
 namespace martenwall::region {
@@ -49,6 +50,10 @@
   void cut_zone(const std::string& zone, std::size_t c, double s);
   [[nodiscard]] std::optional<std::size_t> leader() const;  // that holds the key in the store
   [[nodiscard]] std::uint64_t token_of(std::size_t c) const;
+  [[nodiscard]] const service::Context& context(std::size_t c) const {
+    return controllers_.at(c).process->node->context();
+  }
+  [[nodiscard]] bool runs(std::size_t c) const { return controllers_.at(c).process != nullptr; }
   [[nodiscard]] const std::vector<std::string>& log(std::size_t c) const { return controllers_.at(c).log; }
   [[nodiscard]] std::size_t logged(std::size_t c, const std::string& part) const;  // lines, of all its processes
 
@@ -64,6 +69,10 @@
   void look_closely(double cancels = 0);
   // That share of the jobs that end is called off, asked for and submitted again in the moment of the end.
   void cancel_at_end(double share);
+  // What an operator's command is answered by this controller; nothing where it does not answer.
+  std::optional<wire::PeerReply> configure(std::size_t at, wire::ConfigurationRequest request);
+  // The same, for an operator who does not wait.
+  void configure_later(std::size_t at, wire::ConfigurationRequest request);
   // One request outside of any job's life, and its answer.
   rt::HttpResult request(std::size_t at, std::string method, std::string target, std::string body);
   [[nodiscard]] std::size_t looks() const { return looks_; }  // questions asked by those that look closely
@@ -115,6 +124,11 @@
   rt::Task<void> carry(rt::Socket from, std::size_t a, std::size_t b);
   rt::Task<void> pump(std::shared_ptr<rt::Socket> from, std::shared_ptr<rt::Socket> to, std::size_t a, std::size_t b);
   [[nodiscard]] bool linked(std::size_t a, std::size_t b) const;
+  struct Asked {
+    std::optional<wire::PeerReply> reply;
+    bool over = false;
+  };
+  rt::Task<void> ask_peer(std::size_t at, wire::ConfigurationRequest request, std::shared_ptr<Asked> asked);
   rt::Task<void> ticks();
   rt::Task<void> user(JobId id);
   rt::Task<void> poll(JobId id, std::size_t at);
--- a/tests/region/store.cpp
+++ b/tests/region/store.cpp
@@ -6,6 +6,7 @@
 
 constexpr Duration unanswered = seconds(30);  // longer than anyone waits
 constexpr Duration watch_look = seconds(0.02);
+constexpr std::string_view row_path = "/store/";
 
 rt::HttpResponse to_http(stand_ins::StoreReply reply) { return {reply.status, std::move(reply.body), {}, false}; }
 rt::HttpResponse trouble_reply() { return {503, R"({"error":"trouble"})", {}, false}; }
@@ -28,6 +29,7 @@
 
 rt::Task<rt::HttpResponse> Store::handle(std::size_t from, rt::HttpMessage request) {
   tick();
+  if (request.target.starts_with(row_path)) ++reads_[request.target.substr(row_path.size())];
   if (refuses(from)) co_return trouble_reply();
   const auto& trouble = troubles_[from];
   if (loop_.now() < trouble.slower_until) co_await loop_.sleep(trouble.slower);
--- a/tests/region/store.hpp
+++ b/tests/region/store.hpp
@@ -47,6 +47,10 @@
   void limit_writes(double per_second) { model_.limit_changes(per_second); }
   [[nodiscard]] std::size_t changes() const { return model_.changes(); }  // of keys
   [[nodiscard]] std::size_t refused() const { return refused_; }          // transactions, for too many changes
+  [[nodiscard]] std::size_t reads_of(const std::string& key) const {      // answered or not
+    const auto it = reads_.find(key);
+    return it == reads_.end() ? 0 : it->second;
+  }
   // Called with each transaction that is carried out, `late` or at once.
   std::function<void(const json& txn, bool late)> on_commit;
 
@@ -61,6 +65,7 @@
   std::mt19937_64 random_;
   stand_ins::StoreModel model_;
   std::map<std::size_t, StoreTrouble> troubles_;
+  std::map<std::string, std::size_t> reads_;
   std::size_t late_ = 0, late_refused_ = 0, refused_ = 0;
   std::function<bool(std::size_t, const json&)> which_late_;
   Duration late_after_{0};
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -273,7 +273,8 @@
   StateClient state{ctx};
   JobRows rows{ctx, state};
   LevelService levels{ctx, state};
-  LeaderStore store{ctx, state, rows, levels};
+  ConfigurationService configuration{ctx, state};
+  LeaderStore store{ctx, state, rows, levels, configuration};
   WorkerService workers{ctx, store};
   bool refuses = false;  // its peers' requests
   bool old_version = false;
--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -3,7 +3,7 @@
 
     tools/scale_run.py PLAN.toml [--scale F] [--calm] [--build DIR] [--report FILE.json] [--plot FILE.png] [--logs DIR]
 
---scale: that factor on machines, teams' limits and jobs (default 1). --calm: none of the plan's events.
+--scale: that factor on machines, teams (their number where they are `copies`, else their limits) and jobs (default 1). --calm: none of the plan's events.
 
 A plan has one or more cells; each has controllers (the program of deploy/service.toml), a state service, and one process
 with its hollow workers, cloud, users and the judge of PROTOCOL's rules (`martenwall_stand_in`, -DMARTENWALL_SCALE=ON).
@@ -35,6 +35,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TICKS = os.sysconf("SC_CLK_TCK")
 PR_SET_PDEATHSIG = 1
+FIRST_PORT, PORT_BLOCKS, PORTS_A_RUN = 10000, 300, 64
 QUANTILES = (0.5, 0.9, 0.99)
 FIELD_EVENTS = ("cut_zone", "restart_workers", "limits")
 OWN_EVENTS = ("kill_leader", "kill_controller", "kill_all")
@@ -52,7 +53,7 @@
     """Free ports of 127.0.0.1 below the range that the kernel draws from, so that no outgoing connection takes one."""
 
     def __init__(self):
-        self.next = 20000 + os.getpid() % 5000
+        self.next = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_A_RUN  # two runs at once take different ones
 
     def take(self):
         while True:
@@ -123,9 +124,12 @@
     plan = json.loads(json.dumps(plan))
     teams = []
     for team in plan["teams"]:
-        limits = {k: v * scale if isinstance(v, float) else v for k, v in team.items() if k not in ("name", "copies")}
-        names = [f"{team['name']}-{i:02d}" for i in range(team["copies"])] if "copies" in team else [team["name"]]
-        teams += [{"name": name, **limits} for name in names]
+        limits = {k: v for k, v in team.items() if k not in ("name", "copies")}
+        if "copies" in team:  # fewer teams, not smaller ones: the largest gang has to fit
+            copies = max(1, round(team["copies"] * scale))
+            teams += [{"name": f"{team['name']}-{i:02d}", **limits} for i in range(copies)]
+        else:
+            teams.append({"name": team["name"], **{k: v * scale for k, v in limits.items()}})
     plan["teams"] = teams
     for machines in plan["machines"]:
         for key in ("count", "spare"):
