--- a/src/service/configuration_changes.cpp
+++ b/src/service/configuration_changes.cpp
@@ -207,7 +207,8 @@
     const ReadResult r = co_await state_.get(wire::changes_key(t.version), store_limit);
     if (r.outcome == ReadOutcome::failed) co_return std::nullopt;
     const auto changes = r.outcome == ReadOutcome::found ? wire::decode_changes(r.item.value) : std::nullopt;
-    co_return changes && changes->mark == t.mark;
+    const bool ours = changes.has_value() && changes->mark == t.mark;
+    co_return ours;
   }
   co_return std::nullopt;
 }
@@ -225,7 +226,7 @@
     doubt = doubt || r.outcome == TxnOutcome::unknown;
     if (doubt) {
       const auto committed = co_await was_committed(t);
-      if (committed) co_return *committed ? Outcome::committed : Outcome::lost;
+      if (committed.has_value()) co_return committed.value() ? Outcome::committed : Outcome::lost;
       // Its first conditions hold still, others do not: none of its tries can come through any more.
       if (r.outcome == TxnOutcome::conflict) co_return Outcome::lost;
     }
@@ -278,10 +279,11 @@
     const auto row = wire::decode_changes(item.value);
     if (row) changes.insert(changes.end(), row->changes.begin(), row->changes.end());
   }
+  std::ranges::reverse(changes);  // the newest first
   json list = json::array();
   std::size_t bytes = 0;
-  for (auto c = changes.rbegin(); c != changes.rend(); ++c) {
-    json one{{"version", c->version.value()}, {"atMs", c->at_ms}, {"by", c->by}, {"patch", c->patch}};
+  for (const auto& c : changes) {
+    json one{{"version", c.version.value()}, {"atMs", c.at_ms}, {"by", c.by}, {"patch", c.patch}};
     bytes += one.dump().size();
     if (bytes > history_bytes) break;
     list.push_back(std::move(one));
--- a/src/service/configuration_command.cpp
+++ b/src/service/configuration_command.cpp
@@ -1,6 +1,7 @@
 #include "service/configuration_command.hpp"
 
 #include <fstream>
+#include <memory>
 #include <ostream>
 
 #include "service/peer_link.hpp"
@@ -27,11 +28,15 @@
   return patch;
 }
 
-rt::Task<void> ask(rt::Loop& loop, rt::Endpoint to, std::string frame, std::optional<wire::PeerReply>& reply,
-                   bool& over) {
+struct Asked {
+  std::optional<wire::PeerReply> reply;
+  bool over = false;
+};
+
+rt::Task<void> ask(rt::Loop& loop, rt::Endpoint to, std::string frame, std::shared_ptr<Asked> asked) {
   const Time deadline = loop.now() + patience;
-  reply = co_await ask_once(loop, std::move(to), std::move(frame), deadline);
-  over = true;
+  asked->reply = co_await ask_once(loop, std::move(to), std::move(frame), deadline);
+  asked->over = true;
 }
 
 void show_change(const json& body, std::ostream& out) {
@@ -76,10 +81,10 @@
     return CommandExit::bad_input;
   }
   rt::Loop loop;
-  std::optional<wire::PeerReply> reply;
-  bool over = false;
-  rt::spawn(ask(loop, std::move(*to), std::move(bytes), reply, over));
-  while (!over) loop.step();
+  const auto asked = std::make_shared<Asked>();
+  rt::spawn(ask(loop, std::move(*to), std::move(bytes), asked));
+  while (!asked->over) loop.step();
+  const auto& reply = asked->reply;
   const json body = reply ? wire::parse(reply->body) : json{};
   if (!reply || !body.is_object()) {
     err << "config: no answer from " << command.node << " (not reached, or of an older version)\n";
--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -17,8 +17,10 @@
 """
 import argparse
 import ctypes
+import datetime
 import json
 import os
+import re
 import shlex
 import signal
 import socket
@@ -35,10 +37,13 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TICKS = os.sysconf("SC_CLK_TCK")
 PR_SET_PDEATHSIG = 1
+STARTS_WITHIN_S = 3  # a controller that was killed has read the configuration by then
 FIRST_PORT, PORT_BLOCKS, PORTS_A_RUN = 10000, 300, 64
 QUANTILES = (0.5, 0.9, 0.99)
 FIELD_EVENTS = ("cut_zone", "restart_workers", "limits")
-OWN_EVENTS = ("kill_leader", "kill_controller", "kill_all")
+OWN_EVENTS = ("kill_leader", "kill_controller", "kill_all", "configure")
+IN_FORCE = re.compile(r"^(\S+) info configuration version (\d+) in force")
+APPLIED = re.compile(r"^applied: version (\d+)")
 
 
 class PlanError(Exception):
@@ -74,6 +79,62 @@
         return None
 
 
+class Changes:
+    """Configuration changes by the operators' command, and when each was in force at each controller."""
+
+    def __init__(self, program, nodes):
+        self.program, self.nodes = program, nodes
+        self.running = []  # (began, child, patch to be tried at another node where this one does not answer)
+        self.began = {}  # by version
+        self.outcomes = {}
+        self.sent = 0
+
+    def apply(self, patch, folder, insist=False):
+        path = f"{folder}/patch-{self.sent}.json"
+        with open(path, "w", encoding="utf-8") as f:
+            json.dump(patch, f)
+        node = self.nodes[self.sent % len(self.nodes)]
+        self.sent += 1
+        child = subprocess.Popen([self.program, "config", "apply", path, "--node", node], stdout=subprocess.PIPE,
+                                 stderr=subprocess.STDOUT, text=True, preexec_fn=die_with_parent)
+        self.running.append((time.time(), child, (patch, folder) if insist else None))
+
+    def collect(self):
+        for began, child, again in [r for r in self.running if r[1].poll() is not None]:
+            self.running.remove((began, child, again))
+            text = child.stdout.read().strip()
+            applied = APPLIED.match(text)
+            if applied:
+                self.began[int(applied[1])] = began
+            elif again:
+                self.apply(*again, insist=True)
+            outcome = "applied" if applied else re.sub(r"127\.\S+", "NODE", text)
+            self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+    def end(self):
+        for _, child, _ in self.running:
+            child.kill()
+            child.wait()
+
+    def report(self, controllers, gaps):
+        """Seconds from the beginning of the command to the log line of the version, or a later one, at each controller
+        that was running all the time in between; `gaps`: (from, to) by controller."""
+        delays = []
+        for c in controllers:
+            lines = []
+            with open(c.log, encoding="utf-8", errors="replace") as log:
+                for line in log:
+                    if m := IN_FORCE.match(line):
+                        lines.append((datetime.datetime.fromisoformat(m[1]).timestamp(), int(m[2])))
+            for version, began in self.began.items():
+                when = next((at for at, v in lines if v >= version and at >= began - 0.01), None)
+                away = any(began < to and (when is None or when > start) for start, to in gaps.get(c.name, []))
+                if when is not None and not away:
+                    delays.append(when - began)
+        return {"outcomes": self.outcomes, "versions": len(self.began), "in_force_s": quantiles(delays),
+                "measured": len(delays)}
+
+
 class Process:
     """A child, its processor time and peak memory, over all its restarts."""
 
@@ -166,6 +227,8 @@
         names = [f"{name}-{i}" for i in range(plan["controllers"])]
         store = {**plan["state"], "listen": state, "control": self.control}
         store["value_bytes"] = int(store.pop("value_kb") * 1024)
+        self.changes = Changes(f"{build}/martenwall", links)
+        self.gaps = {}
         self.store = Process("store", [f"{build}/scale/martenwall_stand_in", "store", self.write("store.json", store)],
                              f"{folder}/store.log")
         run = shlex.split(service_line("run"))
@@ -216,14 +279,33 @@
         name = row["data"]["node"] if row else None
         return next((c for c in self.controllers if c.name == name and c.running()), None)
 
+    def configure(self, event, now_s):
+        """Changes that are due: one, or `per_second` for `for_s` seconds, each of another value of `property`."""
+        if "patch" in event:
+            self.changes.apply(event["patch"], self.folder, insist=True)
+            return
+        due = min(now_s - event["at_s"], event["for_s"]) * event["per_second"]
+        while event.setdefault("sent", 0) < due:
+            event["sent"] += 1
+            self.changes.apply({"properties": {event["property"]: 0.01 + 1e-6 * self.changes.sent}}, self.folder)
+        if now_s < event["at_s"] + event["for_s"]:
+            self.own_events.append(event)
+
     def step(self, now_s):
-        while self.own_events and self.own_events[0]["at_s"] <= now_s:
-            event = self.own_events.pop(0)
+        self.changes.collect()
+        self.own_events.sort(key=lambda e: e["at_s"])
+        for event in [e for e in self.own_events if e["at_s"] <= now_s]:
+            self.own_events.remove(event)
+            if event["kind"] == "configure":
+                self.configure(event, now_s)
+                continue
             victims = self.victims(event)
             for process in victims:
                 process.end()
                 self.killed.append((round(now_s, 1), event["kind"], process.name))
-                self.restarts.append((now_s + event.get("back_after_s", 8.0), process))
+                back_s = event.get("back_after_s", 8.0)
+                self.restarts.append((now_s + back_s, process))
+                self.gaps.setdefault(process.name, []).append((time.time(), time.time() + back_s + STARTS_WITHIN_S))
         for when, process in [r for r in self.restarts if r[0] <= now_s]:
             self.restarts.remove((when, process))
             process.start()
@@ -241,6 +323,7 @@
         return [self.controllers[event["controller"]]]
 
     def end(self):
+        self.changes.end()
         for process in self.processes():
             process.end()
 
@@ -289,6 +372,7 @@
         "controllers": {c.name: process_figures(c, length_s) for c in cell.controllers},
         "stand_ins": {p.name: process_figures(p, length_s) for p in (cell.store, cell.field)},
         "log_bytes": {c.name: os.path.getsize(c.log) for c in cell.controllers},
+        "configuration": cell.changes.report(cell.controllers, cell.gaps) if cell.changes.sent else None,
         "series": {"starts_a_second": r["starts_a_second"], "on_machines": r["on_machines"]},
     }
 
@@ -322,6 +406,8 @@
         for lane, k in c["classes"].items():
             lines.append(f"  {lane}: {k['jobs']} jobs, {k['begun']} begun, {k['done']} done; begin delay {k['begin_delay_s']}")
         lines.append(f"  submissions {c['submit_s']} s; errors {c['errors']}; store {c['changes_a_start']} changes a start")
+        if c["configuration"]:
+            lines.append(f"  configuration: {c['configuration']}")
         for who, p in {**c["controllers"], **c["stand_ins"]}.items():
             lines.append(f"  {who}: {p['core_mean']} of a core, peak {p['core_peak']}, {p['peak_mb']} MB")
     return "\n".join(lines)
--- a/tools/scale_run_test.py
+++ b/tools/scale_run_test.py
@@ -42,6 +42,9 @@
         code, cell = self.play(TINY)
         self.assertEqual((0, [], []), (code, cell["breaches"], cell["ended_by_itself"]))
         self.assertEqual(["kill_leader"], [kind for _, kind, _ in cell["killed"]])
+        changes = cell["configuration"]
+        self.assertGreater(changes["versions"], 15)
+        self.assertGreater(changes["measured"], 15)
         self.assertGreater(cell["tasks_started"], 200)
         for job_class in cell["classes"].values():
             self.assertEqual(job_class["jobs"], job_class["done"] + job_class["cancelled"])
