--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -12,7 +12,7 @@
 broken. Exit code 0; 1 where a rule was broken, a controller ended by itself or jobs were left open; 2 for a plan or a
 machine that cannot play it. Ctrl-C ends all processes; when this program dies, they die with it.
 
-Times in a plan are seconds from the first submission. See scale/plans/ for plans. Needs Debian's python3-numpy and, for
+A plan's [properties] go behind those of deploy/run.properties. Times in a plan are seconds from the first submission. See scale/plans/ for plans. Needs Debian's python3-numpy and, for
 --plot, python3-matplotlib.
 """
 import argparse
@@ -55,10 +55,19 @@
 
 
 class Ports:
-    """Free ports of 127.0.0.1 below the range that the kernel draws from, so that no outgoing connection takes one."""
+    """Free ports of 127.0.0.1 below the range that the kernel draws from, so that no outgoing connection takes one. A run
+    holds the first port of its block, so that two runs at once take different blocks."""
 
     def __init__(self):
-        self.next = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_A_RUN  # two runs at once take different ones
+        for block in range(PORT_BLOCKS):
+            self.next = FIRST_PORT + block * PORTS_A_RUN
+            self.lock = socket.socket()
+            try:
+                self.lock.bind(("127.0.0.1", self.next))
+                return
+            except OSError:
+                self.lock.close()
+        raise PlanError("no free ports")
 
     def take(self):
         while True:
@@ -233,6 +242,9 @@
                              f"{folder}/store.log")
         run = shlex.split(service_line("run"))
         run[0] = f"{build}/martenwall"
+        if "properties" in plan:
+            at = run.index("--properties") + 1
+            run[at] = self.properties(run[at], plan["properties"])
         self.controllers = []
         for i, node in enumerate(names):
             others = [{"member": n, "domain": self.zone(k), "endpoint": links[k]}
@@ -256,6 +268,15 @@
             json.dump(value, f)
         return path
 
+    def properties(self, deployed, own):
+        """The deployed properties file, with the plan's own behind."""
+        path = f"{self.folder}/run.properties"
+        with open(f"{ROOT}/{deployed}", encoding="utf-8") as f:
+            lines = [line for line in f.read().splitlines() if line.split("=")[0].strip() not in own]
+        with open(path, "w", encoding="utf-8") as f:
+            f.write("\n".join([*lines, *(f"{name} = {value}" for name, value in own.items())]) + "\n")
+        return path
+
     def zone(self, i):
         return self.plan["zones"][i % len(self.plan["zones"])]
 
