A leader takes what changed of the configuration while it read its rows; its version is a metric

Cause: between the reading of the configuration and the end of the load a newer version could be read, and the scheduler of that load would go by the older one until the next change.

--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -75,7 +75,8 @@
       machines_(gauge("martenwall_machines", "Machines that the leader knows.")),
       jobs_(gauge("martenwall_jobs", "Jobs that the leader knows and that are not over.")),
       memory_(gauge("process_resident_memory_bytes", "Memory that this process holds.")),
-      used_(gauge("martenwall_state_rate_used", "Part of this node's share of the state service's rate, 0 to 1.")) {
+      used_(gauge("martenwall_state_rate_used", "Part of this node's share of the state service's rate, 0 to 1.")),
+      configuration_(gauge("martenwall_configuration_version", "Version of the configuration in force here.")) {
   auto& family = prometheus::BuildCounter()
                      .Name("martenwall_reports_total")
                      .Help("Workers' reports: answered here, passed on, taken from other nodes, sent on, refused.")
@@ -102,6 +103,7 @@
   jobs_.Set(static_cast<double>(l.jobs));
   memory_.Set(static_cast<double>(resident_bytes()));
   used_.Set(l.state_requests_used);
+  configuration_.Set(static_cast<double>(l.configuration));
   for (std::size_t i = 0; i < l.store_queues.size(); ++i) {
     queue_rows_.at(i)->Set(static_cast<double>(l.store_queues.at(i).rows));
     queue_oldest_.at(i)->Set(l.store_queues.at(i).oldest_s);
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -40,6 +40,7 @@
   bool leads = false;
   std::size_t connections = 0, worker_connections = 0, worker_room = 0;
   std::size_t machines = 0, jobs = 0;
+  std::uint64_t configuration = 0;  // the version in force here
   struct Queue {
     std::size_t rows = 0;
     double oldest_s = 0;
@@ -70,7 +71,8 @@
   std::array<std::size_t, report_ways> reports_this_minute_{};
   prometheus::Counter& takeovers_;
   prometheus::Family<prometheus::Gauge>&served_jobs_, &served_share_, &served_wait_;
-  prometheus::Gauge &leads_, &connections_, &worker_connections_, &worker_room_, &machines_, &jobs_, &memory_, &used_;
+  prometheus::Gauge &leads_, &connections_, &worker_connections_, &worker_room_, &machines_, &jobs_, &memory_, &used_,
+      &configuration_;
   std::array<prometheus::Gauge*, 3> queue_rows_{}, queue_oldest_{};
 };
 
--- a/src/service/leader_store.cpp
+++ b/src/service/leader_store.cpp
@@ -235,6 +235,8 @@
   }
   inbox_after_ = rows.notes_revision;
   ctx_.scheduler = std::move(scheduler);
+  // It may have changed while the rows were read.
+  if (ctx_.validity.follows()) ctx_.scheduler->configure(ctx_.configuration.teams, ctx_.policy);
   apply_limits(ctx_);
   ctx_.scheduler->finish_load(ctx_.now());
   for (const auto& id : std::exchange(inbox_cancels_, {})) ctx_.scheduler->cancel(id, ctx_.now());
--- a/src/service/metrics_service.cpp
+++ b/src/service/metrics_service.cpp
@@ -26,6 +26,7 @@
   l.worker_connections = c.workers;
   l.worker_room = c.worker_room;
   l.state_requests_used = state_.requests_used();
+  l.configuration = ctx_.configuration.version.value();
   if (ctx_.scheduler == nullptr) return l;
   l.leads = true;
   l.machines = ctx_.scheduler->machines().size();
