--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -237,25 +237,25 @@
   rounds_of(state, f);
 }
 
-void round_by_zones(benchmark::State& state) {
+// The planned fleet, changed in one respect.
+template <class F>
+void round_of_changed(benchmark::State& state, F&& change) {
   FleetShape shape = planned_shape(planned_machines);
-  shape.zones = amount(state);
+  change(shape);
   Fleet f = crowded(std::move(shape), 100);
   rounds_of(state, f);
 }
 
+void round_by_zones(benchmark::State& state) {
+  round_of_changed(state, [&](FleetShape& shape) { shape.zones = amount(state); });
+}
+
 void round_by_teams(benchmark::State& state) {
-  FleetShape shape = planned_shape(planned_machines);
-  shape.teams = amount(state);
-  Fleet f = crowded(std::move(shape), 100);
-  rounds_of(state, f);
+  round_of_changed(state, [&](FleetShape& shape) { shape.teams = amount(state); });
 }
 
 void round_by_kinds(benchmark::State& state) {
-  FleetShape shape = planned_shape(planned_machines);
-  shape.cpu_kinds = amount(state);
-  Fleet f = crowded(std::move(shape), 100);
-  rounds_of(state, f);
+  round_of_changed(state, [&](FleetShape& shape) { shape.cpu_kinds = amount(state); });
 }
 
 // ---- users ----
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <sstream>
+
 #include "config/configuration_document.hpp"
 #include "region/busy.hpp"
+#include "service/configuration_command.hpp"
 #include "wire/configuration_codec.hpp"
 #include "wire/user_codec.hpp"
 
@@ -89,6 +92,29 @@
   EXPECT_LT(wire::changes_key(ConfigurationVersion{9}), wire::changes_key(ConfigurationVersion{10}));
 }
 
+// ---- the operators' command ----
+
+TEST(configuration, the_command_tells_what_is_wrong_with_its_input) {
+  const auto run = [](service::ConfigurationCommand command, std::string& told) {
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto code = service::run_command(std::move(command), out, err);
+    told = err.str();
+    return code;
+  };
+  std::string told;
+  service::ConfigurationCommand command;
+  command.node = "somewhere";
+  EXPECT_EQ(service::CommandExit::bad_input, run(command, told));
+  EXPECT_NE(std::string::npos, told.find("'somewhere'"));
+  command.node = "127.0.0.1:1";
+  EXPECT_EQ(service::CommandExit::in_doubt, run(command, told)) << "nobody listens there";
+  command.request.ask = Ask::apply;
+  command.file = "/nowhere/change.json";
+  EXPECT_EQ(service::CommandExit::bad_input, run(command, told));
+  EXPECT_NE(std::string::npos, told.find("/nowhere/change.json"));
+}
+
 // ---- who may decide ----
 
 TEST(configuration, nothing_is_decided_by_one_that_may_be_outdated) {
