--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -202,6 +202,24 @@
   b.ends_well(300);
 }
 
+// It gave its word, but the process that did is gone: the new one reads nothing unless the transaction fails.
+TEST(configuration, a_process_replaced_after_its_word_makes_the_first_change_fail) {
+  Busy b{217};
+  Region& r = b.r;
+  const auto other = r.others_of(b.old, 1);
+  r.store().make_late([](std::size_t, const json& txn) { return region::sets(txn, wire::configuration_key); },
+                      seconds(3));
+  r.configure_later(b.old, change(red(900)));
+  r.run(0.5);
+  ASSERT_TRUE(r.context(other).validity.follows()) << "its word was given";
+  r.kill(other);
+  r.start(other);
+  r.run(8);
+  EXPECT_EQ(1U, r.store().late_refused()) << "the first try";
+  EXPECT_TRUE(all_have(r, 1)) << "the next one has the new process's word";
+  b.ends_well(300);
+}
+
 TEST(configuration, a_limit_lowered_below_what_runs) {
   Busy b{203, {}, 60};
   Region& r = b.r;
