--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -61,7 +62,8 @@
 
 struct File {
   std::string path;
-  explicit File(const std::string& text) : path(testing::TempDir() + "martenwall_test.properties") {
+  explicit File(const std::string& text)
+      : path(testing::TempDir() + "martenwall_test." + std::to_string(::getpid()) + ".properties") {
     std::ofstream{path} << text;
   }
   ~File() { std::remove(path.c_str()); }
