Where a worker reports next is told in one place, for the region and the scale run

The table of responses (200, 421 with a name, else the next node) stood in both shells of the worker model. Behaviour is as it was.

--- a/scale/field.cpp
+++ b/scale/field.cpp
@@ -14,6 +14,12 @@
 constexpr Duration limits_in_force = seconds(8);
 constexpr double third = 1.0 / 3;
 
+std::vector<std::string> names_of(const std::vector<ControllerAddress>& controllers) {
+  std::vector<std::string> out;
+  for (const auto& c : controllers) out.push_back(c.name);
+  return out;
+}
+
 }  // namespace
 
 Field::Field(rt::Loop& loop, FieldPlan plan)
@@ -28,6 +34,7 @@
                   return spec.image_gb / plan_.types.front().fetch_gb_per_s * (1 + third * (2 * workers_.roll() - 1));
                 }},
                plan_.controllers,
+               names_of(plan_.controllers),
                [this] {
                  return std::uniform_real_distribution<>{0, 1}(random_);
                },
--- a/scale/hollow_worker.cpp
+++ b/scale/hollow_worker.cpp
@@ -11,7 +11,6 @@
 // PROTOCOL, "Workers -> controller nodes".
 constexpr Duration answer_limit = seconds(4);
 constexpr Duration least_gap = seconds(0.5);
-constexpr Duration next_node_after = seconds(1);
 constexpr std::size_t most_answer = 256 * 1024;
 constexpr std::size_t most_commands = 8;  // connections of controllers at once
 
@@ -26,13 +25,13 @@
 HollowWorker::HollowWorker(WorkerField& field, stand_ins::MachineTraits traits, Time boots)
     : field_(field),
       model_(field.world, std::move(traits), boots),
-      next_report_(boots),
       wake_(field.loop),
       client_(field.loop, 2, most_answer, 1),
       server_(field.loop, *rt::Endpoint::parse("127.0.0.1:0"), bounds(),
               [this](rt::HttpMessage m) { return serve(std::move(m)); }) {
   model_.set_endpoint("127.0.0.1:" + std::to_string(server_.port()));
-  target_ = static_cast<std::size_t>(field_.roll() * static_cast<double>(field_.controllers.size()));
+  route_.next_report = boots;
+  route_.target = static_cast<std::size_t>(field_.roll() * static_cast<double>(field_.controllers.size()));
 }
 
 void HollowWorker::run() {
@@ -52,8 +51,8 @@
 rt::Task<void> HollowWorker::report_loop() {
   while (!model_.gone()) {
     const Time now = field_.loop.now();
-    const Time sooner = model_.changed() ? std::max(last_report_ + least_gap, Time{}) : next_report_;
-    const Time due = std::max({std::min(next_report_, sooner), cut_until_, last_report_ + Duration{1}});
+    const Time sooner = model_.changed() ? std::max(last_report_ + least_gap, Time{}) : route_.next_report;
+    const Time due = std::max({std::min(route_.next_report, sooner), cut_until_, last_report_ + Duration{1}});
     if (!model_.up(now) || now < due) {
       const Time until = model_.up(now) ? due : std::max(due, now + seconds(0.2));
       co_await wake_.wait(until);
@@ -61,13 +60,13 @@
     }
     model_.reported();
     last_report_ = now;
-    next_report_ = now + seconds(field_.world.terms.report_s * (0.75 + 0.5 * field_.roll()));
+    route_.next_report = now + seconds(field_.world.terms.report_s * (0.75 + 0.5 * field_.roll()));
     const auto session = model_.session();
     std::string body = model_.report();
     ++field_.traffic.reports;
     field_.traffic.report_bytes += body.size();
     bytes_ += body.size();
-    std::string to = field_.controllers.at(target_).users;
+    std::string to = field_.controllers.at(route_.target).users;
     const rt::HttpResult result =
         co_await client_.request(std::move(to), "POST", "/agent/beat", std::move(body), answer_limit);
     // What was under way when it was cut off is lost.
@@ -81,21 +80,7 @@
   const json body = in_time ? json::parse(result.body, nullptr, false) : json{};
   field_.traffic.answer_bytes += result.body.size();
   bytes_ += result.body.size();
-  if (in_time && result.status == 421 && body.is_object() && body.contains("steward")) {
-    const auto named =
-        std::ranges::find(field_.controllers, body.at("steward").get<std::string>(), &ControllerAddress::name);
-    const auto at = static_cast<std::size_t>(named - field_.controllers.begin());
-    if (named != field_.controllers.end() && at != target_) {
-      target_ = at;
-      next_report_ = now;
-      return;
-    }
-  }
-  if (!in_time || result.status != 200) {
-    target_ = (target_ + 1) % field_.controllers.size();
-    next_report_ = now + next_node_after;
-    return;
-  }
+  if (!route_.follow(in_time ? result.status : 0, body, field_.names, now)) return;
   ++field_.traffic.answered;
   model_.take_answer(body, session, sent, now);
 }
--- a/scale/hollow_worker.hpp
+++ b/scale/hollow_worker.hpp
@@ -16,7 +16,8 @@
   rt::Loop& loop;
   stand_ins::WorkerWorld world;
   const std::vector<ControllerAddress>& controllers;
-  std::function<double()> roll;  // 0 to 1
+  std::vector<std::string> names;  // theirs
+  std::function<double()> roll;    // 0 to 1
   struct Traffic {
     std::uint64_t reports = 0, answered = 0, report_bytes = 0, answer_bytes = 0, commands = 0, command_bytes = 0;
   } traffic;
@@ -43,8 +44,8 @@
 
   WorkerField& field_;
   stand_ins::WorkerModel model_;
-  Time next_report_{}, last_report_{}, cut_until_{};
-  std::size_t target_ = 0;
+  stand_ins::ReportRoute route_;
+  Time last_report_{}, cut_until_{};
   std::uint64_t bytes_ = 0;
   rt::Event wake_;
   rt::HttpClient client_;
--- a/stand_ins/worker_model.cpp
+++ b/stand_ins/worker_model.cpp
@@ -8,6 +8,10 @@
 
 using nlohmann::json;
 
+namespace {
+constexpr Duration next_node_after = seconds(1);
+}  // namespace
+
 // ---- images ----
 
 Time ImageCache::ready_at(const JobSpec& spec, Time now, const std::function<Duration()>& fetch) {
@@ -235,6 +239,24 @@
   for (auto& [key, t] : tasks_) step_task(key, t, now);
 }
 
+// ---- reports ----
+
+bool ReportRoute::follow(int status, const json& body, const std::vector<std::string>& controllers, Time now) {
+  if (status == 200) return true;
+  if (status == 421 && body.is_object() && body.contains("steward")) {
+    const auto named = std::ranges::find(controllers, body.at("steward").get<std::string>());
+    const auto at = static_cast<std::size_t>(named - controllers.begin());
+    if (named != controllers.end() && at != target) {
+      target = at;
+      next_report = now;
+      return false;
+    }
+  }
+  target = (target + 1) % controllers.size();
+  next_report = now + next_node_after;
+  return false;
+}
+
 // ---- gangs ----
 
 void Gangs::step(const std::vector<WorkerModel*>& workers, Time now) {
--- a/stand_ins/worker_model.hpp
+++ b/stand_ins/worker_model.hpp
@@ -112,6 +112,14 @@
   std::size_t lost_to_lease_ = 0;
 };
 
+// Where a worker reports to, and when next.
+struct ReportRoute {
+  std::size_t target = 0;  // of the controllers
+  Time next_report{};
+  // PROTOCOL's table of responses; `status` 0: none in time. True for a 200, which the worker itself may still drop.
+  bool follow(int status, const nlohmann::json& body, const std::vector<std::string>& controllers, Time now);
+};
+
 // The tasks of a gang find one another by their attempt, wherever they are.
 class Gangs {
  public:
--- a/tests/region/worker.cpp
+++ b/tests/region/worker.cpp
@@ -18,17 +18,17 @@
 Worker::Worker(Environment& environment, MachineId id, std::string zone, bool spot, Time boots)
     : environment_(environment),
       model_(environment.world, {std::move(id), "", "big", std::move(zone), spot, room}, boots),
-      next_report_(boots),
       client_(environment.loop, 8, 1024 * 1024, 4),
       server_(environment.loop, *rt::Endpoint::parse("127.0.0.1:0"), {},
               [this](rt::HttpMessage m) { return serve(std::move(m)); }) {
   model_.set_endpoint("127.0.0.1:" + std::to_string(server_.port()));
-  target_ = static_cast<std::size_t>(environment_.roll() * static_cast<double>(environment_.controllers.size()));
+  route_.next_report = boots;
+  route_.target = static_cast<std::size_t>(environment_.roll() * static_cast<double>(environment_.controllers.size()));
 }
 
 std::string Worker::address() const {
-  const bool cut = environment_.loop.now() < std::max(cut_until_, silent_until_) || (kept() && target_ != kept_);
-  return cut ? "" : environment_.address(target_).value_or("");
+  const bool cut = environment_.loop.now() < std::max(cut_until_, silent_until_) || (kept() && route_.target != kept_);
+  return cut ? "" : environment_.address(route_.target).value_or("");
 }
 
 void Worker::run() {
@@ -54,14 +54,14 @@
 rt::Task<void> Worker::report_loop() {
   while (!gone()) {
     const Time now = environment_.loop.now();
-    const bool due = now >= next_report_ || (model_.changed() && now >= last_report_ + least_gap);
+    const bool due = now >= route_.next_report || (model_.changed() && now >= last_report_ + least_gap);
     if (!up() || hangs() || !due) {
       co_await environment_.loop.sleep(look_every);
       continue;
     }
     model_.reported();
     last_report_ = now;
-    next_report_ = now + seconds(environment_.world.terms.report_s * (0.75 + 0.5 * environment_.roll()));
+    route_.next_report = now + seconds(environment_.world.terms.report_s * (0.75 + 0.5 * environment_.roll()));
     const auto session = model_.session();
     std::string body = model_.report();
     if (environment_.roll() < environment_.late_reports) {
@@ -90,20 +90,7 @@
   const Time now = environment_.loop.now();
   const bool in_time = result.outcome == rt::Outcome::answered && now - sent <= answer_limit;
   const json body = in_time ? json::parse(result.body, nullptr, false) : json{};
-  if (in_time && result.status == 421 && body.is_object() && body.contains("steward")) {
-    const auto named = std::ranges::find(environment_.controllers, body.at("steward").get<std::string>());
-    const auto at = static_cast<std::size_t>(named - environment_.controllers.begin());
-    if (named != environment_.controllers.end() && at != target_) {
-      target_ = at;
-      next_report_ = now;
-      return;
-    }
-  }
-  if (!in_time || result.status != 200) {
-    target_ = (target_ + 1) % environment_.controllers.size();
-    next_report_ = now + seconds(1);
-    return;
-  }
+  if (!route_.follow(in_time ? result.status : 0, body, environment_.controllers, now)) return;
   if (model_.take_answer(body, session, sent, now)) renewals_.emplace_back(now, model_.token());
 }
 
--- a/tests/region/worker.hpp
+++ b/tests/region/worker.hpp
@@ -62,7 +62,7 @@
   void lose_everyone(Duration time) { cut_until_ = environment_.loop.now() + time; }
   // It reaches this controller alone, and no command reaches it.
   void keep_to(std::size_t controller, Duration time) {
-    target_ = kept_ = controller;
+    route_.target = kept_ = controller;
     kept_until_ = environment_.loop.now() + time;
   }
   // Commands with a start are held for so long before they are executed; once.
@@ -78,11 +78,12 @@
 
   Environment& environment_;
   stand_ins::WorkerModel model_;
-  Time next_report_{}, last_report_{};
+  stand_ins::ReportRoute route_;
+  Time last_report_{};
   Time deaf_until_{}, hangs_until_{}, cut_until_{};
   std::optional<Duration> hold_start_;
   Time kept_until_{}, silent_until_{};
-  std::size_t target_ = 0, kept_ = 0, executed_late_ = 0;
+  std::size_t kept_ = 0, executed_late_ = 0;
   std::vector<std::pair<Time, std::uint64_t>> renewals_;
   rt::HttpClient client_;
   rt::HttpServer server_;
