Status and dependencies by compared keys: keys of conflicts are read

Symptom: a transaction that only compares never named a key.

Cause: parse_failed looped over list(parse(body), "failed"), a reference into a temporary that a range-for of C++20 does not keep: undefined behaviour that yields no key with this compiler.

Change: the document is held; field and list refuse temporaries at compile time. find_existing tells apart answered, not understood, too many keys and unanswered. Active jobs are answered in the step of the comparison's answer, ends go before keys of active jobs, an end that cannot be read is 503, too many keys are asked for again, fewer at a time. martenwall_lookups_total counts what answered. docs/safety.md argues each branch.

--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -19,6 +19,9 @@
 }
 
 constexpr std::array<const char*, heartbeat_paths> path_names{"here", "relayed", "by_others", "sent_on", "refused"};
+constexpr std::array<const char*, lookup_purposes> purpose_names{"status_query", "dependency_check"};
+constexpr std::array<const char*, lookup_sources> source_names{"memory",         "leader",       "compared_active",
+                                                               "compared_final", "single_reads", "unanswered"};
 constexpr std::array<const char*, 3> priority_names{"awaited", "borrowed", "spare"};
 
 prometheus::Histogram& histogram(prometheus::Registry& r, const char* name, const char* help) {
@@ -84,6 +87,16 @@
                      .Register(*registry_);
   for (std::size_t i = 0; i < heartbeat_paths; ++i)
     heartbeats_by_path_.at(i) = &family.Add({{"way", path_names.at(i)}});
+  auto& lookups = prometheus::BuildCounter()
+                      .Name("martenwall_lookups_total")
+                      .Help("Jobs looked up, by what they were looked up for and what answered.")
+                      .Register(*registry_);
+  for (std::size_t purpose = 0; purpose < lookup_purposes; ++purpose) {
+    for (std::size_t source = 0; source < lookup_sources; ++source) {
+      lookups_.at(purpose).at(source) =
+          &lookups.Add({{"purpose", purpose_names.at(purpose)}, {"source", source_names.at(source)}});
+    }
+  }
   for (std::size_t i = 0; i < priority_names.size(); ++i) {
     const prometheus::Labels labels{{"urgency", priority_names.at(i)}};
     queue_rows_.at(i) = &gauge("martenwall_store_queue_rows", "Rows whose time to be written has come.", labels);
@@ -96,6 +109,12 @@
   heartbeats_this_minute_.at(static_cast<std::size_t>(path)) += n;
 }
 
+void Metrics::count_lookup(LookupPurpose purpose, LookupSource source) {
+  lookups_.at(static_cast<std::size_t>(purpose)).at(static_cast<std::size_t>(source))->Increment();
+}
+
+const char* name_of(LookupSource source) { return source_names.at(static_cast<std::size_t>(source)); }
+
 void Metrics::set(const Gauges& l) {
   leads_.Set(l.leads ? 1 : 0);
   connections_.Set(static_cast<double>(l.connections));
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -46,6 +46,21 @@
 };
 constexpr std::size_t heartbeat_paths = 5;
 
+// For what a job was looked up beyond this node's memory and the leader's word.
+enum class LookupPurpose { status_query, dependency_check };
+constexpr std::size_t lookup_purposes = 2;
+
+// What a lookup was answered from.
+enum class LookupSource {
+  memory,           // what this node knows: ends, and jobs of the scheduler while its lease is valid
+  leader,           // the leader's reply over its peer link
+  compared_active,  // a comparison of keys: the job's own key is there
+  compared_final,   // a comparison of keys, then one read of the job's end
+  single_reads,     // its rows, each read by itself
+  unanswered,       // nothing: the user has to ask again
+};
+constexpr std::size_t lookup_sources = 6;
+
 // The present state of a node; MetricsService fills it in.
 struct Gauges {
   bool leads = false;
@@ -61,6 +76,9 @@
   double state_requests_used = 0;       // part of this node's share of the state service's rate, 0 to 1
 };
 
+// The source's name, as the metric's label and log events have it.
+const char* name_of(LookupSource source);
+
 // All metrics of a node, by their exported names. Not thread-safe: it belongs to the loop's thread.
 class Metrics {
   std::shared_ptr<prometheus::Registry> registry_;  // before all that is registered with it
@@ -74,6 +92,8 @@
 
   // Heartbeats that went this way.
   void count_heartbeat(HeartbeatPath path, std::size_t n = 1);
+  // One job that was looked up.
+  void count_lookup(LookupPurpose purpose, LookupSource source);
   // A failover: this node began to lead.
   void count_takeover() { takeovers_.Increment(); }
 
@@ -90,6 +110,7 @@
   prometheus::Gauge& gauge(const char* name, const char* help, const prometheus::Labels& labels = {});
   std::array<prometheus::Counter*, heartbeat_paths> heartbeats_by_path_{};
   std::array<std::size_t, heartbeat_paths> heartbeats_this_minute_{};
+  std::array<std::array<prometheus::Counter*, lookup_sources>, lookup_purposes> lookups_{};
   prometheus::Counter& takeovers_;
   prometheus::Family<prometheus::Gauge>&served_jobs_, &served_share_, &served_wait_;
   prometheus::Gauge &leads_, &connections_, &worker_connections_, &worker_room_, &machines_, &jobs_, &memory_, &used_,
--- a/src/service/dependency_checker.cpp
+++ b/src/service/dependency_checker.cpp
@@ -14,8 +14,8 @@
   keys.push_back(wire::final_key(id));
 }
 
-bool is_active(const std::set<std::string>& existing_keys, const JobId& id) {
-  return existing_keys.contains(wire::job_key(id, false)) || existing_keys.contains(wire::job_key(id, true));
+bool is_active(const KeyComparison& compared, const JobId& id) {
+  return compared.contains(wire::job_key(id, false)) || compared.contains(wire::job_key(id, true));
 }
 
 }  // namespace
@@ -36,22 +36,33 @@
 
 rt::Task<DependencyCheck> DependencyChecker::check(JobSpec spec, bool as_leader) {
   using Outcome = DependencyCheck::Outcome;
+  using Source = metrics::LookupSource;
   Partition parts = partition(spec, as_leader);
   DependencyCheck result;
   result.open_dependencies = std::move(parts.open);
   std::vector<std::string> keys;
   add_keys(keys, spec.id);
   for (const auto& id : parts.unlisted) add_keys(keys, id);
-  const auto existing = co_await find_existing(std::move(keys));
-  if (!existing) co_return result;
-  if (is_active(*existing, spec.id) || existing->contains(wire::final_key(spec.id))) {
+  const KeyComparison compared = co_await find_existing(std::move(keys));
+  if (!compared.answered()) {
+    count(Source::unanswered);
+    co_return result;
+  }
+  const bool ended = compared.contains(wire::final_key(spec.id));
+  if (ended || is_active(compared, spec.id)) {
+    count(ended ? Source::compared_final : Source::compared_active);
     result.outcome = Outcome::already_stored;
     co_return result;
   }
   for (const auto& id : parts.unlisted) {
     auto progress = Progress::open;
-    if (!is_active(*existing, id)) progress = co_await read_progress(id);
-    if (progress == Progress::unknown) co_return result;
+    const bool active = is_active(compared, id);
+    if (!active) progress = co_await read_progress(id);
+    if (progress == Progress::unknown) {
+      count(Source::unanswered);
+      co_return result;
+    }
+    count(active ? Source::compared_active : Source::single_reads);
     if (progress == Progress::never_accepted) {
       result.outcome = Outcome::never_accepted;
       co_return result;
@@ -77,17 +88,20 @@
   co_return end.exists() && end.status.phase == JobPhase::done ? Progress::done : Progress::open;
 }
 
-// Which of the keys exist; as many at a time as a transaction may name. Nothing where the store did not answer.
-rt::Task<std::optional<std::set<std::string>>> DependencyChecker::find_existing(std::vector<std::string> keys) {
-  std::set<std::string> all;
-  const std::size_t max_keys = max_compared_keys(ctx_.limits);
-  for (std::size_t i = 0; i < keys.size(); i += max_keys) {
-    const auto first = keys.begin() + static_cast<std::ptrdiff_t>(i);
-    const auto size = std::min(max_keys, keys.size() - i);
-    std::vector<std::string> chunk{first, first + static_cast<std::ptrdiff_t>(size)};
-    auto existing = co_await store_.find_existing(std::move(chunk), compare_timeout);
-    if (!existing) co_return std::nullopt;
-    all.merge(*existing);
+// Which of the keys exist; as many at a time as a transaction may name, which may turn out to be fewer than before.
+rt::Task<KeyComparison> DependencyChecker::find_existing(std::vector<std::string> keys) {
+  KeyComparison all{KeyComparison::Outcome::answered, {}};
+  auto next = keys.cbegin();
+  while (next != keys.cend()) {
+    const auto left = static_cast<std::size_t>(keys.cend() - next);
+    const auto size = std::min(max_compared_keys(ctx_.limits), left);
+    const auto end = next + static_cast<std::ptrdiff_t>(size);
+    std::vector<std::string> chunk{next, end};
+    KeyComparison compared = co_await store_.find_existing(std::move(chunk), compare_timeout);
+    if (compared.outcome == KeyComparison::Outcome::too_many_keys) continue;
+    if (!compared.answered()) co_return compared;
+    all.existing.merge(compared.existing);
+    next = end;
   }
   co_return all;
 }
--- a/src/service/dependency_checker.hpp
+++ b/src/service/dependency_checker.hpp
@@ -44,8 +44,11 @@
   enum class Progress { done, open, never_accepted, unknown };
 
   [[nodiscard]] Partition partition(const JobSpec& spec, bool as_leader) const;
+  void count(metrics::LookupSource source) {
+    ctx_.metrics.count_lookup(metrics::LookupPurpose::dependency_check, source);
+  }
   rt::Task<Progress> read_progress(JobId id);
-  rt::Task<std::optional<std::set<std::string>>> find_existing(std::vector<std::string> keys);
+  rt::Task<KeyComparison> find_existing(std::vector<std::string> keys);
 
   Context& ctx_;
   StoreClient& store_;
--- a/src/service/status_query_service.cpp
+++ b/src/service/status_query_service.cpp
@@ -7,6 +7,8 @@
 
 namespace martenwall::service {
 
+using Source = metrics::LookupSource;
+
 namespace {
 constexpr Duration batching_delay = seconds(0.015);  // polls wait so long for others to go with them
 constexpr Duration store_batching_delay =
@@ -27,7 +29,10 @@
 rt::Task<rt::HttpResponse> StatusQueryService::status(std::string id) {
   if (!wire::valid_job_id(id)) co_return no_such_job();
   const JobId job{std::move(id)};
-  if (const auto known = reader_.from_memory(job)) co_return status_response(200, known->status);
+  if (const auto known = reader_.from_memory(job)) {
+    count(Source::memory);
+    co_return status_response(200, known->status);
+  }
   const JobLookup lookup = co_await query(job);
   if (lookup.existence == Existence::absent) co_return no_such_job();
   if (lookup.existence == Existence::unknown) co_return retry_later("the job's state cannot be read now");
@@ -36,7 +41,10 @@
 
 rt::Task<JobLookup> StatusQueryService::query(JobId id) {
   const auto question = enqueue(id);
-  if (question == nullptr) co_return JobLookup{};
+  if (question == nullptr) {
+    count(Source::unanswered);
+    co_return JobLookup{};
+  }
   const Time deadline = ctx_.now() + lookup_timeout;
   while (!question->lookup && ctx_.now() < deadline) co_await question->answered.wait(deadline);
   // Meanwhile this node may have come to know the job's end: nothing older may be told then.
@@ -59,7 +67,10 @@
   return question;
 }
 
-void StatusQueryService::resolve(StatusQuery& query, JobLookup lookup) {
+void StatusQueryService::resolve(StatusQuery& query, JobLookup lookup, Source source) {
+  if (lookup.existence == Existence::unknown) source = Source::unanswered;
+  count(source);
+  ctx_.log->debug("status query answered job={} source={}", query.id.value(), name_of(source));
   if (lookup.exists()) ctx_.finished_jobs.add(lookup.status);
   query.lookup = std::move(lookup);
   query.answered.notify();
@@ -89,13 +100,7 @@
 
 rt::Task<void> StatusQueryService::answer_batch(StatusQueries batch) {
   if (!ctx_.has_valid_lease() && ctx_.has_other_leader()) batch = co_await answer_from_leader(std::move(batch));
-  const std::size_t chunk_size = std::max<std::size_t>(1, max_compared_keys(ctx_.limits) / keys_per_query - 1);
-  for (std::size_t i = 0; i < batch.size(); i += chunk_size) {
-    const auto first = batch.begin() + static_cast<std::ptrdiff_t>(i);
-    const auto size = std::min(chunk_size, batch.size() - i);
-    StatusQueries chunk{first, first + static_cast<std::ptrdiff_t>(size)};
-    co_await answer_from_store(std::move(chunk));
-  }
+  co_await answer_from_store(std::move(batch));
   --batches_in_flight_;
   queue_changed_.notify();
 }
@@ -114,7 +119,8 @@
     query.unknown_to_leader = !status.known;
     if (status.known) {
       const auto phase = static_cast<JobPhase>(status.phase);
-      resolve(query, {Existence::exists, {query.id, phase, status.done, status.running, reasons[query.id]}});
+      resolve(query, {Existence::exists, {query.id, phase, status.done, status.running, reasons[query.id]}},
+              Source::leader);
     } else {
       unanswered.push_back(batch[i]);
     }
@@ -127,43 +133,93 @@
   return ctx_.format_version >= wire::current_format_version ? wire::tasks_key(id, 0) : wire::v1_tasks_key(id, 0);
 }
 
+std::size_t StatusQueryService::jobs_per_comparison() const {
+  return std::max<std::size_t>(1, max_compared_keys(ctx_.limits) / keys_per_query - 1);
+}
+
+// As many at a time as a comparison may name, which may turn out to be fewer than before.
+rt::Task<void> StatusQueryService::answer_from_store(StatusQueries batch) {
+  auto next = batch.cbegin();
+  while (next != batch.cend()) {
+    const auto left = static_cast<std::size_t>(batch.cend() - next);
+    const auto end = next + static_cast<std::ptrdiff_t>(std::min(jobs_per_comparison(), left));
+    const auto term = ctx_.term;
+    StatusQueries chunk{next, end};
+    KeyComparison compared = co_await compare(chunk);
+    if (compared.outcome == KeyComparison::Outcome::too_many_keys) continue;
+    // What was compared under one leadership means nothing under a later one.
+    if (ctx_.term != term) compared = KeyComparison{};
+    co_await answer_from_comparison(std::move(chunk), std::move(compared));
+    next = end;
+  }
+}
+
 // One transaction that only compares tells which of the jobs are active, placed, or over. A dependent job is looked up
 // by itself: its dependencies must be looked at too.
-rt::Task<void> StatusQueryService::answer_from_store(StatusQueries batch) {
-  const auto term = ctx_.term;
+rt::Task<KeyComparison> StatusQueryService::compare(StatusQueries batch) {
   std::vector<std::string> keys;
   for (const auto& query : batch) {
     keys.push_back(wire::job_key(query->id));
     keys.push_back(wire::final_key(query->id));
     keys.push_back(placement_key(query->id));
   }
-  const auto existing_keys = co_await store_.find_existing(std::move(keys), compare_timeout);
+  co_return co_await store_.find_existing(std::move(keys), compare_timeout);
+}
+
+// Those that the comparison shows to be active are answered at once, before any further wait: it is then the last that
+// was looked at but this node's memory. The rest is read row by row, which takes time.
+rt::Task<void> StatusQueryService::answer_from_comparison(StatusQueries batch, KeyComparison compared) {
+  StatusQueries rest;
   for (const auto& query : batch) {
-    if (query->lookup) continue;
-    co_await answer_one_from_store(*query, existing_keys, term);
-    const bool active = query->lookup->exists() && !is_final(query->lookup->status.phase);
-    if (active && query->unknown_to_leader) inbox_.announce_job(query->id);
+    if (query->lookup || resolve_from_memory(*query) || resolve_active(*query, compared)) continue;
+    rest.push_back(query);
+  }
+  for (const auto& query : rest) {
+    if (compared.outcome == KeyComparison::Outcome::unanswered) {
+      resolve(*query, {}, Source::unanswered);
+    } else {
+      const bool ended = compared.contains(wire::final_key(query->id));
+      co_await answer_from_rows(*query, ended);
+    }
   }
+  for (const auto& query : batch) announce_if_active(*query);
 }
 
-// `existing_keys` were read under the leadership `term`, and mean nothing under a later one.
-rt::Task<void> StatusQueryService::answer_one_from_store(StatusQuery& query,
-                                                         const std::optional<std::set<std::string>>& existing_keys,
-                                                         std::uint64_t term) {
-  if (const auto known = reader_.from_memory(query.id)) {
-    resolve(query, *known);
-  } else if (!existing_keys || ctx_.term != term) {
-    resolve(query, {});
-  } else if (existing_keys->contains(wire::job_key(query.id)) && !ctx_.has_valid_lease()) {
-    const bool placed = existing_keys->contains(placement_key(query.id));
-    resolve(query, {Existence::exists, {query.id, placed ? JobPhase::running : JobPhase::pending, 0, 0}});
-  } else if (existing_keys->contains(wire::final_key(query.id))) {
-    JobLookup lookup = co_await reader_.read_final(query.id);
-    resolve(query, std::move(lookup));
-  } else {
+bool StatusQueryService::resolve_from_memory(StatusQuery& query) {
+  const auto known = reader_.from_memory(query.id);
+  if (known) resolve(query, *known, Source::memory);
+  return known.has_value();
+}
+
+// The key of an unfinished job without dependencies exists from its acceptance to the transaction that stores its end,
+// so that it was active at the moment of the comparison (docs/safety.md, "Status by compared keys"). A leader has to
+// know such a job and reads its row to adopt it.
+bool StatusQueryService::resolve_active(StatusQuery& query, const KeyComparison& compared) {
+  const bool active = compared.contains(wire::job_key(query.id)) && !compared.contains(wire::final_key(query.id));
+  if (!active || ctx_.has_valid_lease()) return false;
+  const bool placed = compared.contains(placement_key(query.id));
+  const JobPhase phase = placed ? JobPhase::running : JobPhase::pending;
+  resolve(query, {Existence::exists, {query.id, phase, 0, 0}}, Source::compared_active);
+  return true;
+}
+
+rt::Task<void> StatusQueryService::answer_from_rows(StatusQuery& query, bool ended) {
+  if (resolve_from_memory(query)) co_return;
+  if (!ended) {
     JobLookup lookup = co_await reader_.read_status(query.id);
-    resolve(query, std::move(lookup));
+    resolve(query, std::move(lookup), Source::single_reads);
+    co_return;
   }
+  JobLookup lookup = co_await reader_.read_final(query.id);
+  // An end is never removed. That it is not there any more contradicts the comparison and proves nothing.
+  if (lookup.existence == Existence::absent) lookup = JobLookup{};
+  resolve(query, std::move(lookup), Source::compared_final);
+}
+
+// The leader did not know of a job that is in the store and not over.
+void StatusQueryService::announce_if_active(const StatusQuery& query) {
+  const bool active = query.lookup->exists() && !is_final(query.lookup->status.phase);
+  if (active && query.unknown_to_leader) inbox_.announce_job(query.id);
 }
 
 }  // namespace martenwall::service
--- a/src/service/status_query_service.hpp
+++ b/src/service/status_query_service.hpp
@@ -2,7 +2,6 @@
 #pragma once
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,9 +46,15 @@
   rt::Task<void> answer_batch(StatusQueries batch);
   rt::Task<StatusQueries> answer_from_leader(StatusQueries batch);
   rt::Task<void> answer_from_store(StatusQueries batch);
-  rt::Task<void> answer_one_from_store(StatusQuery& query, const std::optional<std::set<std::string>>& existing_keys,
-                                       std::uint64_t term);
-  void resolve(StatusQuery& query, JobLookup lookup);
+  rt::Task<void> answer_from_comparison(StatusQueries batch, KeyComparison compared);
+  rt::Task<void> answer_from_rows(StatusQuery& query, bool ended);
+  rt::Task<KeyComparison> compare(StatusQueries batch);
+  bool resolve_from_memory(StatusQuery& query);
+  bool resolve_active(StatusQuery& query, const KeyComparison& compared);
+  void resolve(StatusQuery& query, JobLookup lookup, metrics::LookupSource source);
+  void announce_if_active(const StatusQuery& query);
+  void count(metrics::LookupSource source) { ctx_.metrics.count_lookup(metrics::LookupPurpose::status_query, source); }
+  [[nodiscard]] std::size_t jobs_per_comparison() const;
   [[nodiscard]] std::string placement_key(const JobId& id) const;
 
   Context& ctx_;
--- a/src/service/store_client.cpp
+++ b/src/service/store_client.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;  // a page of the largest rows is below
 constexpr std::size_t max_connections = 24;
 constexpr std::size_t max_idle_connections = 12;
+constexpr std::size_t max_logged_answer = 200;  // bytes of an answer that was not understood
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
@@ -179,25 +180,37 @@
   return TxnOutcome::too_large;
 }
 
-rt::Task<std::optional<std::set<std::string>>> StoreClient::find_existing(std::vector<std::string> keys,
-                                                                          Duration timeout) {
+rt::Task<KeyComparison> StoreClient::find_existing(std::vector<std::string> keys, Duration timeout) {
+  using Outcome = KeyComparison::Outcome;
   const Time until = ctx_.now() + timeout;
   const double reserve = ctx_.limits.rps() * share_now() * poll_reserve;
   const bool admitted = co_await admit(0, timeout, reserve);
-  if (!admitted) co_return std::nullopt;
+  if (!admitted) co_return KeyComparison{};
   std::vector<wire::Condition> conditions;
   conditions.reserve(keys.size());
   for (auto& key : keys) conditions.push_back({std::move(key), KeyVersion{0}});
   std::string body = wire::encode_txn(conditions, {});
   const Duration left = std::max(min_request_timeout, until - ctx_.now());
   const rt::HttpResult answer = co_await send("POST", wire::transaction_target, std::move(body), left);
-  std::set<std::string> existing;
-  if (answer.ok()) co_return existing;
-  // More conditions than it takes now.
-  if (has_status(answer, status_bad_request)) (void)ctx_.limits.refused_size();
-  if (!has_status(answer, status_conflict)) co_return std::nullopt;
-  for (auto& key : wire::parse_failed(answer.body)) existing.insert(std::move(key));
-  co_return existing;
+  if (answer.ok()) co_return KeyComparison{Outcome::answered, {}};
+  if (has_status(answer, status_conflict)) co_return read_conflict(answer.body, conditions);
+  const bool lowered = has_status(answer, status_bad_request) && ctx_.limits.refused_size();
+  co_return KeyComparison{lowered ? Outcome::too_many_keys : Outcome::unanswered, {}};
+}
+
+// A conflict names the keys that exist. One that names none, or others than were asked for, is no answer to this
+// question: it must not be read as "none exists".
+KeyComparison StoreClient::read_conflict(const std::string& body, const std::vector<wire::Condition>& conditions) {
+  std::set<std::string> asked;
+  for (const auto& condition : conditions) asked.insert(condition.key);
+  const auto failed = wire::parse_failed(body);
+  const bool understood =
+      failed && !failed->empty() && std::ranges::all_of(*failed, [&](const auto& key) { return asked.contains(key); });
+  if (!understood) {
+    ctx_.log->error("conflict not understood keys={} answer={}", asked.size(), body.substr(0, max_logged_answer));
+    return {KeyComparison::Outcome::not_understood, {}};
+  }
+  return {KeyComparison::Outcome::answered, {failed->begin(), failed->end()}};
 }
 
 bool StoreClient::has_unused_write_rate() { return writes_.fill_level(ctx_.now()) > unused_write_fill; }
--- a/src/service/store_client.hpp
+++ b/src/service/store_client.hpp
@@ -30,6 +30,21 @@
   Revision revision;  // of what was committed: the version of every key that was written
 };
 
+// What a transaction that only compares told of the keys that it names.
+struct KeyComparison {
+  enum class Outcome {
+    answered,        // of each key it is known whether it exists
+    not_understood,  // a conflict that does not say at which of the keys: nothing is known of any of them
+    too_many_keys,   // the store takes fewer than it did; fewer may be asked for at once
+    unanswered,      // no answer, or none now
+  };
+  Outcome outcome = Outcome::unanswered;
+  std::set<std::string> existing;  // where it was answered
+
+  [[nodiscard]] bool answered() const { return outcome == Outcome::answered; }
+  [[nodiscard]] bool contains(const std::string& key) const { return existing.contains(key); }
+};
+
 // Every request of this node to the store goes through the one client. Where nothing else is said, a request waits for
 // this node's share of the store's rates first, at most for its timeout, and counts as failed or refused where the
 // share is overdrawn for longer. Timeouts are for the answer. Nothing is retried here.
@@ -51,8 +66,8 @@
   // A compare-and-swap: all operations, where all conditions hold.
   rt::Task<TxnResult> txn(std::vector<wire::Condition> conditions, std::vector<wire::StoreOp> operations,
                           Duration timeout, Queueing queueing = Queueing::first);
-  // Which of the keys exist, in one request: a transaction that only compares. Nothing where it was not answered.
-  rt::Task<std::optional<std::set<std::string>>> find_existing(std::vector<std::string> keys, Duration timeout);
+  // Which of the keys exist, all at one moment: a transaction that only compares.
+  rt::Task<KeyComparison> find_existing(std::vector<std::string> keys, Duration timeout);
   // Whether a good part of this node's share of writes is unused at the moment.
   [[nodiscard]] bool has_unused_write_rate();
   // Of this node's share of requests, 0 to 1.
@@ -85,6 +100,7 @@
   rt::Task<bool> admit(double writes, Duration timeout, double reserve = renewal_reserve);
   rt::Task<bool> admit_in_order(double writes, Duration timeout);
   rt::Task<rt::HttpResult> send(std::string method, std::string target, std::string body, Duration timeout);
+  KeyComparison read_conflict(const std::string& body, const std::vector<wire::Condition>& conditions);
   TxnOutcome on_malformed(const std::string& message, std::size_t operations, std::size_t bytes);
 
   Context& ctx_;
--- a/src/wire/json_fields.hpp
+++ b/src/wire/json_fields.hpp
@@ -47,6 +47,9 @@
   const auto it = object.find(name);
   return it == object.end() || it->is_null() ? nullptr : &*it;
 }
+// What is returned is part of the object: of a temporary it would be gone at the end of the expression, in a range-for
+// before the first element.
+const json* field(const json&& object, const char* name) = delete;
 
 // The field as a string; nothing where it is missing, null, or of another type. So are the next three.
 inline std::optional<std::string> text(const json& object, const char* name) {
@@ -84,5 +87,6 @@
   const auto* value = field(object, name);
   return value != nullptr && value->is_array() ? *value : empty;
 }
+const json& list(const json&& object, const char* name) = delete;  // as `field`
 
 }  // namespace martenwall::wire
--- a/src/wire/store_codec.cpp
+++ b/src/wire/store_codec.cpp
@@ -376,12 +376,16 @@
 
 std::string transaction_id_of(const json& value) { return value.value(transaction_id_field, ""); }
 
-std::vector<std::string> parse_failed(const std::string& body) {
-  std::vector<std::string> out;
-  for (const auto& key : list(parse(body), "failed")) {
-    if (key.is_string()) out.push_back(key.get<std::string>());
+std::optional<std::vector<std::string>> parse_failed(const std::string& body) {
+  const json answer = parse(body);
+  const auto* failed = field(answer, "failed");
+  if (failed == nullptr || !failed->is_array()) return std::nullopt;
+  std::vector<std::string> keys;
+  for (const auto& key : *failed) {
+    if (!key.is_string()) return std::nullopt;
+    keys.push_back(key.get<std::string>());
   }
-  return out;
+  return keys;
 }
 
 }  // namespace martenwall::wire
--- a/src/wire/store_codec.hpp
+++ b/src/wire/store_codec.hpp
@@ -185,7 +185,8 @@
 constexpr const char* transaction_id_field = "by";
 std::string transaction_id_of(const json& value);  // empty where it carries none
 
-// The keys of a transaction whose conditions failed.
-std::vector<std::string> parse_failed(const std::string& body);
+// The keys whose conditions failed, of the answer to a transaction that met a conflict. Nothing where the form is
+// another: such an answer tells nothing of any key.
+std::optional<std::vector<std::string>> parse_failed(const std::string& body);
 
 }  // namespace martenwall::wire
--- a/tests/region/store.cpp
+++ b/tests/region/store.cpp
@@ -29,7 +29,11 @@
 
 rt::Task<rt::HttpResponse> Store::handle(std::size_t from, rt::HttpMessage request) {
   tick();
-  if (request.target.starts_with(row_path)) ++reads_[request.target.substr(row_path.size())];
+  if (request.target.starts_with(row_path)) {
+    const std::string key = request.target.substr(row_path.size());
+    ++reads_[key];
+    if (refuse_read && refuse_read(from, key)) co_return unavailable_reply();
+  }
   if (refuses(from)) co_return unavailable_reply();
   const auto& faults = faults_[from];
   if (loop_.now() < faults.slower_until) co_await loop_.sleep(faults.slower);
@@ -58,16 +62,25 @@
   carry_out(txn, true);
 }
 
+rt::Task<rt::HttpResponse> Store::compare(std::size_t from, json txn) {
+  ++comparisons_[from];
+  std::optional<rt::HttpResponse> replaced;
+  if (replace_comparison) replaced = replace_comparison(from, txn);
+  rt::HttpResponse answer = replaced ? std::move(*replaced) : carry_out(txn, false);
+  if (faults_[from].comparisons_held > Duration{0}) co_await loop_.sleep(faults_[from].comparisons_held);
+  co_return answer;
+}
+
 rt::Task<rt::HttpResponse> Store::multi(std::size_t from, json txn) {
+  if (txn.at("then").empty()) co_return co_await compare(from, std::move(txn));
   if (!model_.takes_changes(txn.at("then").size(), loop_.now())) {
     ++refused_;
     co_return rt::HttpResponse{429, R"({"error":"too many changes"})", {}, false};
   }
   const auto& faults = faults_[from];
-  const bool writes = !txn.at("then").empty();
   const bool drawn =
-      writes && loop_.now() < faults.late_until && std::uniform_real_distribution<>{0, 1}(random_) < faults.late_share;
-  const bool named = writes && which_late_ && which_late_(from, txn);
+      loop_.now() < faults.late_until && std::uniform_real_distribution<>{0, 1}(random_) < faults.late_share;
+  const bool named = which_late_ && which_late_(from, txn);
   if (!drawn && !named) co_return carry_out(txn, false);
   const Duration drawn_after = seconds(std::uniform_real_distribution<>{2, 12}(random_));
   const Duration after = named ? late_after_ : faults.at_once ? Duration{0} : drawn_after;
--- a/tests/region/store.hpp
+++ b/tests/region/store.hpp
@@ -20,9 +20,10 @@
   Time refuses_until{};  // 503, while the others are served
   Time late_until{};     // share of transactions that get no answer and are carried out late
   double late_share = 0;
-  bool at_once = false;       // they are carried out at once, and only the answer is lost
-  Duration slower{0};         // each answer takes so much longer
-  Duration leases_slower{0};  // those about leases
+  bool at_once = false;          // they are carried out at once, and only the answer is lost
+  Duration slower{0};            // each answer takes so much longer
+  Duration leases_slower{0};     // those about leases
+  Duration comparisons_held{0};  // a transaction that only compares is carried out, and its answer held so long
   Time slower_until{};
 };
 
@@ -52,12 +53,22 @@
     const auto it = reads_.find(key);
     return it == reads_.end() ? 0 : it->second;
   }
+  // Of transactions that only compare, per controller.
+  [[nodiscard]] std::size_t comparisons_of(std::size_t controller) const {
+    const auto it = comparisons_.find(controller);
+    return it == comparisons_.end() ? 0 : it->second;
+  }
+  // Whether a read of one key is refused (503).
+  std::function<bool(std::size_t from, const std::string& key)> refuse_read;
+  // Called with each transaction that only compares; what it returns is the answer instead of the store's own.
+  std::function<std::optional<rt::HttpResponse>(std::size_t from, const json& txn)> replace_comparison;
   // Called with each transaction that is carried out, `late` or at once.
   std::function<void(const json& txn, bool late)> on_commit;
 
  private:
   rt::Task<rt::HttpResponse> multi(std::size_t from, json txn);
   rt::Task<rt::HttpResponse> watch(std::size_t from, std::string target);
+  rt::Task<rt::HttpResponse> compare(std::size_t from, json txn);
   rt::Task<void> carry_out_late(json txn, Duration after);
   rt::HttpResponse carry_out(const json& txn, bool late);
   [[nodiscard]] bool refuses(std::size_t from);
@@ -67,6 +78,7 @@
   stand_ins::StoreModel model_;
   std::map<std::size_t, StoreFaults> faults_;
   std::map<std::string, std::size_t> reads_;
+  std::map<std::size_t, std::size_t> comparisons_;
   std::size_t late_ = 0, late_refused_ = 0, refused_ = 0;
   std::function<bool(std::size_t, const json&)> which_late_;
   Duration late_after_{0};
