Configuration: an outcome that cannot be read is unknown; submissions at a node that cannot decide go to the leader

Symptoms: a change in doubt, then in conflict, then unreadable was told as 409 though it was applied. A node that began while the store refused it alone answered every submission 503, though its leader could take them.

Causes: was_committed had one value for 'not yet' and 'cannot be read', and a conflict then counted as lost. submit gave up before it thought of the leader, since nobody but the node asked first checked a job's limits.

Change: four fates of a transaction in doubt; only what was read counts as lost. The leader checks what it is handed by the configuration in force, so that a node which cannot may hand on what its own would take.

--- a/src/service/configuration_changes.cpp
+++ b/src/service/configuration_changes.cpp
@@ -31,6 +31,8 @@
   return {409, json{{"error", "the version is another"}, {"version", version.value()}}.dump(), {}};
 }
 
+wire::PeerReply outcome_unknown() { return failure(504, "not known whether it was applied: ask for the history"); }
+
 }  // namespace
 
 rt::Task<wire::PeerReply> ConfigurationChanges::on_peer_request(wire::PeerRequest request) {
@@ -57,7 +59,7 @@
   while (!change->reply && ctx_.now() < until) co_await change->answered.wait(until);
   if (change->reply) co_return *change->reply;
   if (std::erase(queue_, change) > 0) co_return failure(503, "not begun in time");
-  co_return failure(504, "not known whether it was applied");
+  co_return outcome_unknown();
 }
 
 rt::Task<void> ConfigurationChanges::run() {
@@ -199,19 +201,17 @@
   return transaction;
 }
 
-rt::Task<std::optional<bool>> ConfigurationChanges::was_committed(Transaction transaction) {
+rt::Task<ConfigurationChanges::Fate> ConfigurationChanges::read_fate(Transaction transaction) {
   const Snapshot now = co_await read();
-  if (!now.known) co_return std::nullopt;
-  if (now.key_version != transaction.conditions.front().version) {
-    if (now.row.mark == transaction.id) co_return true;
-    // Another came after it, or before: the row of its changes tells.
-    const ReadResult r = co_await store_.get(wire::changes_key(transaction.version), store_timeout);
-    if (r.outcome == ReadOutcome::failed) co_return std::nullopt;
-    const auto changes = r.outcome == ReadOutcome::found ? wire::decode_changes(r.item.value) : std::nullopt;
-    const bool ours = changes.has_value() && changes->mark == transaction.id;
-    co_return ours;
-  }
-  co_return std::nullopt;
+  if (!now.known) co_return Fate::unreadable;
+  if (now.key_version == transaction.conditions.front().version) co_return Fate::pending;
+  if (now.row.mark == transaction.id) co_return Fate::committed;
+  // Another came after it, or before: the row of its changes tells.
+  const ReadResult r = co_await store_.get(wire::changes_key(transaction.version), store_timeout);
+  if (r.outcome == ReadOutcome::failed) co_return Fate::unreadable;
+  const auto changes = r.outcome == ReadOutcome::found ? wire::decode_changes(r.item.value) : std::nullopt;
+  const bool ours = changes.has_value() && changes->mark == transaction.id;
+  co_return ours ? Fate::committed : Fate::lost;
 }
 
 // The same transaction again and again until it is known what became of it: its conditions let at most one through.
@@ -224,13 +224,15 @@
     const TxnResult r = co_await store_.txn(std::move(conditions), std::move(operations), store_timeout);
     if (r.outcome == TxnOutcome::committed) co_return Outcome::committed;
     if (r.outcome == TxnOutcome::conflict && !uncertain) co_return Outcome::lost;
-    if (r.outcome == TxnOutcome::too_large) co_return Outcome::lost;
+    if (r.outcome == TxnOutcome::too_large && !uncertain) co_return Outcome::lost;
     uncertain = uncertain || r.outcome == TxnOutcome::unknown;
     if (uncertain) {
-      const auto committed = co_await was_committed(transaction);
-      if (committed.has_value()) co_return committed.value() ? Outcome::committed : Outcome::lost;
-      // Its first conditions hold still, others do not: none of its tries can come through any more.
-      if (r.outcome == TxnOutcome::conflict) co_return Outcome::lost;
+      const Fate fate = co_await read_fate(transaction);
+      if (fate == Fate::committed) co_return Outcome::committed;
+      if (fate == Fate::lost) co_return Outcome::lost;
+      // Its first condition holds still, others do not: none of its tries can come through any more. Where nothing
+      // could be read, the conflict may be with its own first try.
+      if (fate == Fate::pending && r.outcome == TxnOutcome::conflict) co_return Outcome::lost;
     }
     co_await ctx_.loop.sleep(retry_pause);
   }
@@ -264,7 +266,7 @@
       co_return;
     }
     if (outcome == Outcome::uncertain) {
-      answer_rest(batch, failure(504, "not known whether it was applied"));
+      answer_rest(batch, outcome_unknown());
       co_return;
     }
   }
--- a/src/service/configuration_changes.hpp
+++ b/src/service/configuration_changes.hpp
@@ -52,6 +52,13 @@
     std::string refusal;  // empty: it can be made
   };
   enum class Outcome { committed, lost, uncertain };
+  // What the store shows of a transaction whose answer was lost.
+  enum class Fate {
+    committed,
+    lost,        // it was not carried out and never will be
+    pending,     // it was not carried out, and may be yet
+    unreadable,  // no answer that tells
+  };
 
   rt::Task<wire::PeerReply> apply(wire::ConfigurationRequest request);
   rt::Task<wire::PeerReply> dry_run(wire::ConfigurationRequest request);
@@ -63,7 +70,7 @@
   std::optional<wire::ConfigurationRow> merge(Batch& batch, const wire::ConfigurationRow& before);
   Transaction transaction_for(const Batch& batch, const Snapshot& before, wire::ConfigurationRow after);
   rt::Task<Outcome> commit_transaction(Transaction transaction, Time deadline);
-  rt::Task<std::optional<bool>> was_committed(Transaction transaction);  // nothing: it may still come
+  rt::Task<Fate> read_fate(Transaction transaction);
   static void answer(PendingChange& change, wire::PeerReply reply);
   static void answer_rest(Batch& batch, const wire::PeerReply& reply);
 
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -10,6 +10,16 @@
 
 namespace {
 constexpr Duration forward_timeout = seconds(0.6);  // where the leader is silent, the store is the other way
+
+// The leader has decided: taken, known already, or refused for good.
+bool is_decision(const wire::PeerReply& reply) {
+  return reply.status == 200 || reply.status == 201 || reply.status == 422;
+}
+
+wire::PeerRequest forwarded(const JobSpec& spec, std::string body) {
+  const auto verb = spec.dependencies.empty() ? wire::PeerVerb::submit : wire::PeerVerb::submit_dependent;
+  return {verb, spec.id.value(), std::move(body), {}};
+}
 }  // namespace
 
 SubmissionService::SubmissionService(Context& ctx, const Collaborators& with)
@@ -26,30 +36,44 @@
   if (!parsed) co_return rejection(400, parsed.error().message);
   JobSpec spec = std::move(parsed).value();
   if (const auto finished = ctx_.finished_jobs.find(spec.id)) co_return status_response(200, *finished);
-  if (!ctx_.may_decide()) {
-    // Which limits it has to fit is not known now; a job that was accepted stays so.
-    co_return co_await answer_existing(spec.id, "the configuration in force is not known now");
-  }
+  if (!ctx_.may_decide()) co_return co_await submit_undecided(std::move(spec), std::move(body));
   if (auto error = find_rejection(spec, ctx_.configuration.teams, ctx_.types)) {
     co_return co_await reject(spec.id, std::move(*error));
   }
-  const bool dependent = !spec.dependencies.empty();
-  // A node of the other version would start the job early.
-  if (dependent && ctx_.format_version < wire::current_format_version)
-    co_return retry_later("not all nodes take jobs that await others yet");
+  if (!may_store(spec)) co_return retry_later("not all nodes take jobs that await others yet");
   if (!ctx_.has_valid_lease() && ctx_.has_other_leader()) {
-    const auto verb = dependent ? wire::PeerVerb::submit_dependent : wire::PeerVerb::submit;
-    wire::PeerRequest request{verb, spec.id.value(), std::move(body), {}};
+    wire::PeerRequest request = forwarded(spec, std::move(body));
     const auto reply = co_await peers_.call_leader(std::move(request), forward_timeout);
-    if (reply && (reply->status == 200 || reply->status == 201 || reply->status == 422)) {
-      co_return response_from(*reply);
-    }
+    if (reply && is_decision(*reply)) co_return response_from(*reply);
   }
   // Looked at anew: this node may have become the leader during the wait.
   co_return co_await accept(std::move(spec), ctx_.has_valid_lease());
 }
 
+// A node of the other version would start a dependent job early.
+bool SubmissionService::may_store(const JobSpec& spec) const {
+  return spec.dependencies.empty() || ctx_.format_version >= wire::current_format_version;
+}
+
+// Which limits the job has to fit is not known here now, but to the leader, which checks it by the configuration in
+// force. It need not be known who leads: the others refuse. What would not be taken by the configuration that this node
+// knows is not handed over, since a leader of an earlier version does not check it again.
+rt::Task<rt::HttpResponse> SubmissionService::submit_undecided(JobSpec spec, std::string body) {
+  const bool may_fit = !find_rejection(spec, ctx_.configuration.teams, ctx_.types);
+  if (may_fit && may_store(spec) && ctx_.scheduler == nullptr) {
+    wire::PeerRequest request = forwarded(spec, std::move(body));
+    const auto reply = co_await peers_.call_any_other(std::move(request), forward_timeout);
+    if (reply && is_decision(*reply)) co_return response_from(*reply);
+  }
+  // A job that was accepted stays so.
+  co_return co_await answer_existing(spec.id, "the configuration in force is not known now");
+}
+
 rt::Task<rt::HttpResponse> SubmissionService::accept_as_leader(JobSpec spec) {
+  if (!ctx_.may_decide()) co_return co_await answer_existing(spec.id, "the configuration in force is not known now");
+  if (auto error = find_rejection(spec, ctx_.configuration.teams, ctx_.types)) {
+    co_return co_await reject(spec.id, std::move(*error));
+  }
   co_return co_await accept(std::move(spec), true);
 }
 
--- a/src/service/submission_service.hpp
+++ b/src/service/submission_service.hpp
@@ -37,6 +37,8 @@
   rt::Task<rt::HttpResponse> accept_as_leader(JobSpec spec);
 
  private:
+  [[nodiscard]] bool may_store(const JobSpec& spec) const;
+  rt::Task<rt::HttpResponse> submit_undecided(JobSpec spec, std::string body);
   rt::Task<rt::HttpResponse> answer_existing(JobId id, std::string reason_otherwise);
   rt::Task<rt::HttpResponse> reject(JobId id, Error error);
   rt::Task<rt::HttpResponse> accept(JobSpec spec, bool as_leader);
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -316,6 +316,36 @@
   }
 }
 
+// What happened: a change got no answer but was applied; tried again it met a conflict with itself, and the read that
+// would have told was refused. It was then taken for lost and tried on what is stored: an operator who asked with
+// `--expect` was told 409, nothing changed, though it was applied. Where no read tells, the outcome is unknown (504).
+TEST(configuration, a_change_in_doubt_then_in_conflict_then_unreadable_is_not_called_refused) {
+  for (const bool read_in_time : {true, false}) {
+    SCOPED_TRACE(read_in_time);
+    BusyRegion busy{216};
+    Region& r = busy.r;
+    ASSERT_EQ(200, r.configure(busy.old_leader, change(red(999)))->status);
+    r.store().make_late([](std::size_t, const json& txn) { return region::sets(txn, wire::configuration_key); },
+                        Duration{0});
+    std::optional<Time> unreadable_until;
+    r.store().on_commit = [&](const json& txn, bool late) {
+      if (late && region::sets(txn, wire::configuration_key)) {
+        unreadable_until = r.now() + (read_in_time ? seconds(3) : seconds(60));
+      }
+    };
+    r.store().refuse_read = [&](std::size_t, const std::string& key) {
+      return unreadable_until && r.now() < *unreadable_until && key.starts_with(wire::configuration_key);
+    };
+    std::optional<wire::PeerReply> reply = r.configure(busy.old_leader, change(red(500), 1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(read_in_time ? 200 : 504, reply->status) << reply->body;
+    r.store().refuse_read = nullptr;
+    r.run(8);
+    EXPECT_TRUE(all_have(r, 2)) << "applied, and once";
+    EXPECT_EQ(1U, r.store().late());
+  }
+}
+
 TEST(configuration, changes_that_race_are_applied_one_after_the_other) {
   BusyRegion busy{214};
   Region& r = busy.r;
@@ -356,6 +386,45 @@
   EXPECT_TRUE(all_have(r, 1));
 }
 
+// What happened: a controller that began while the key-value store refused it alone had not read yet whether there is a
+// configuration, and answered every submission 503, though its leader could take them. Which limits a job has to fit is
+// the leader's to say: it checks with the configuration in force.
+TEST(configuration, a_node_that_begins_while_refused_hands_submissions_to_the_leader) {
+  BusyRegion busy{218};
+  Region& r = busy.r;
+  const auto other = r.others_of(busy.old_leader, 1);
+  r.rules().change_limits({{"red", {0, 16, 0}, {0, 400, 0}}}, r.now(), in_force);
+  ASSERT_EQ(200, r.configure(busy.old_leader, change(red(400)))->status);
+  r.kill(other);
+  r.store().faults(other).refuses_until = r.now() + seconds(30);
+  r.start(other);
+  r.run(3);
+  JobSpec spec = r.rules().job(busy.jobs.front()).spec;
+  spec.id = JobId{"job-800000"};
+  r.rules().add(spec, 5, r.now());
+  const auto taken = r.request(other, "POST", "/api/jobs", wire::encode_job(spec).dump());
+  EXPECT_EQ(201, taken.status) << taken.body;
+  EXPECT_TRUE(r.store().has("j/job-800000"));
+  EXPECT_EQ(200, r.request(other, "POST", "/api/jobs", wire::encode_job(spec).dump()).status) << "the same again";
+  // Within the settings' limit of 1000, which is all that this node knows, and beyond the one in force.
+  spec.id = JobId{"job-800001"};
+  spec.kind = JobKind::gang;
+  spec.tasks = 500;
+  const auto beyond = r.request(other, "POST", "/api/jobs", wire::encode_job(spec).dump());
+  EXPECT_EQ(422, beyond.status) << beyond.body;
+  EXPECT_FALSE(r.store().has("j/job-800001"));
+  // What was accepted stays so, whatever it asks for when it comes again.
+  spec.id = JobId{"job-800000"};
+  EXPECT_EQ(200, r.request(other, "POST", "/api/jobs", wire::encode_job(spec).dump()).status);
+  // Without a leader nobody can tell.
+  for (std::size_t c = 0; c < r.controllers(); ++c) {
+    if (c != other) r.kill_for(c, 10);
+  }
+  spec.id = JobId{"job-800002"};
+  spec.kind = JobKind::array;
+  EXPECT_EQ(503, r.request(other, "POST", "/api/jobs", wire::encode_job(spec).dump()).status);
+}
+
 TEST(configuration, a_node_that_cannot_know_decides_nothing) {
   BusyRegion busy{216};
   Region& r = busy.r;
