--- a/tests/status_comparison_test.cpp
+++ b/tests/status_comparison_test.cpp
@@ -4,8 +4,8 @@
 // What happened: no key ever came back from such a transaction (key_comparison_test.cpp tells why). Each poll cost two
 // to four reads of a store that gives such a node a third of its requests, so polls waited behind each other and were
 // refused; and a repeated submission of an accepted job with dependencies was checked like a new one, so that one that
-// named other dependencies was told 422, which is `forgotten`. The counter `martenwall_lookups_total` showed it: on the
-// days below all lookups had `source="single_reads"` or `"unanswered"`, none `"compared_active"`.
+// named other dependencies was told 422, which is `forgotten`. What showed it: with the old parser's result put back,
+// most tests below fail, among them those that ask for an answer with `source="compared_active"`.
 #include "region/busy_region.hpp"
 #include "wire/user_codec.hpp"
 
