Review case 3: a job is not told that it was called off with another

Cause: a job accepted during a takeover is unknown to the new leader. A node that finds it, and sees that a job it awaits was cancelled, answers 503 and does not tell the leader of it.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+export PYTHONDONTWRITEBYTECODE=1
+timeout -s KILL 119 python3 case.py
+case $? in
+  0) exit 0 ;;
+  3) exit 1 ;;
+  *) exit 2 ;;
+esac
