Review: each case's own files write its record

Cause: record.txt was named in the common stand-ins only. Change: each script removes an old record.txt and each case gives the path of its new one.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+# Writes to record.txt beside it what was sent, answered and run.
 cd "$(dirname "$0")" || exit 2
 export PYTHONDONTWRITEBYTECODE=1
+rm -f record.txt
 timeout -s KILL 119 python3 case.py
 case $? in
   0) exit 0 ;;
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -79,4 +79,4 @@
     return broken
 
 
-p.main(FOLDER, case)
+p.main(case, os.path.join(FOLDER, "record.txt"))
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -25,11 +25,11 @@
 
 
 class Record:
-    """Writes what was sent, answered and run, with seconds since the case began, to record.txt."""
+    """Writes what was sent, answered and run, with seconds since the case began, to the file."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.begin = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.begin
@@ -550,8 +550,8 @@
 
     ZONES = ["milano-nord", "brescia-est", "trento-valle"]
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.timings = {"report_s": 3.0, "lease_s": 19.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": 39.0}
         self.teams = [
             {"name": "stradario", "cpus": 0.0, "cpus_max": 0.0, "gpus": 800.0, "gpus_max": 2000.0},
@@ -796,13 +796,13 @@
     pass
 
 
-def main(folder, case):
+def main(case, record_path):
     """Runs `case(platform, trouble)`, which gives the broken rules. Exit code: 3 broken, 0 held, 2 could not run.
     (Python itself ends with 1 where it cannot begin.)"""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        platform = Platform(folder)
+        platform = Platform(record_path)
         platform.record.write(f"trouble {'on' if trouble else 'off'}")
         code = 2
         try:
