Recovery and polls: log what tells the review's hypotheses apart

The logs could not tell a chunk that was missing from one that was not read, a task row of an ended job from one whose job was not loaded, or a poll that knew of a job the leader did not know from one that did not. Change: log lines only: the outcome of each chunk that was not read, task rows without a job row, inbox entries of jobs that were not loaded, and (debug) jobs that are unknown to the leader at a poll.

--- a/src/service/job_reader.cpp
+++ b/src/service/job_reader.cpp
@@ -12,6 +12,18 @@
 constexpr int max_dependency_reads = 12;                 // per poll: more would not end within its timeout
 }  // namespace
 
+std::string_view name_of(Existence existence) {
+  switch (existence) {
+    case Existence::exists:
+      return "exists";
+    case Existence::absent:
+      return "absent";
+    case Existence::unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 JobReader::JobReader(Context& ctx, StoreClient& store, LeaderService& leader_service, JobRowStore& job_rows)
     : ctx_(ctx), store_(store), leader_service_(leader_service), job_rows_(job_rows) {}
 
--- a/src/service/job_reader.hpp
+++ b/src/service/job_reader.hpp
@@ -1,6 +1,7 @@
 // Looks up one job in this node's memory and in the store.
 #pragma once
 #include <optional>
+#include <string_view>
 
 #include "service/context.hpp"
 #include "service/job_row_store.hpp"
@@ -16,6 +17,9 @@
   unknown,  // the store did not answer, or its answer may be out of date: the user has to retry
 };
 
+// Returns the value's name for logs.
+std::string_view name_of(Existence existence);
+
 // The result of a lookup.
 struct JobLookup {
   Existence existence = Existence::unknown;
--- a/src/service/job_row_store.cpp
+++ b/src/service/job_row_store.cpp
@@ -14,7 +14,10 @@
     for (std::size_t i = 0; i < manifest->count; ++i) {
       keys.push_back(wire::chunk_key(id, manifest->nonce, i));
       const ReadResult chunk = co_await store_.get(keys.back(), seconds(1));
-      if (chunk.outcome != ReadOutcome::found) co_return std::nullopt;
+      if (chunk.outcome != ReadOutcome::found) {
+        ctx_.log->info("job row chunk not read key={} outcome={}", keys.back(), name_of(chunk.outcome));
+        co_return std::nullopt;
+      }
       chunks.push_back(chunk.item.value);
     }
     row = wire::join_chunks(chunks);
--- a/src/service/leader_recovery.cpp
+++ b/src/service/leader_recovery.cpp
@@ -36,7 +36,17 @@
   }
   const auto tasks = decode_task_rows(rows);
   if (!tasks) co_return tasks.error();
-  for (const auto& row : *tasks) scheduler->load_tasks(row, ctx_.now());
+  for (const auto& row : *tasks) {
+    if (scheduler->find_job(row.job) == nullptr) {
+      ctx_.log->info("task row without job row job={} first={} placed={}", row.job.value(), row.first,
+                     row.placed.size());
+    }
+    scheduler->load_tasks(row, ctx_.now());
+  }
+  const auto not_loaded = std::ranges::count_if(rows.inbox, [&](const wire::StoreItem& entry) {
+    return !wire::is_stranded_workers_key(entry.key) && scheduler->find_job(wire::job_of_key(entry.key)) == nullptr;
+  });
+  ctx_.log->info("inbox entries loaded entries={} of_jobs_not_loaded={}", rows.inbox.size(), not_loaded);
   install(std::move(scheduler), process_inbox(rows.inbox));
   ctx_.log->info("recovery finished jobs={} machines={} seconds={} format_version={} v1_rows={}", rows.jobs.size(),
                  rows.machines.size(), to_seconds(ctx_.now() - started_at), ctx_.format_version,
--- a/src/service/status_query_service.cpp
+++ b/src/service/status_query_service.cpp
@@ -219,8 +219,11 @@
 
 // Announces a job that is in the store and not finished, but that the leader did not know.
 void StatusQueryService::announce_if_active(const StatusQuery& query) {
+  if (!query.unknown_to_leader) return;
   const bool active = query.lookup->exists() && !is_final(query.lookup->status.phase);
-  if (active && query.unknown_to_leader) inbox_.announce_job(query.id);
+  ctx_.log->debug("job unknown to the leader job={} existence={} announced={}", query.id.value(),
+                  name_of(query.lookup->existence), active);
+  if (active) inbox_.announce_job(query.id);
 }
 
 }  // namespace martenwall::service
