Polls: the leader is told of a job by its row, not by what may be answered

Cause: the node may not call a job active that awaits a cancelled one, or one that it cannot look up in time. It left a note for the leader only for jobs whose state it could tell, though it had read the row and had the leader's word that it does not know the job. Change: JobLookup::is_unfinished holds once the row was read. Polls and repeated submissions, those of jobs that await others included, announce by it. Result: on the sources before: [ FAILED ] failover_load.the_leader_is_told_of_a_job_whose_dependency_is_cancelled 503 after the poll that should have told the leader [ FAILED ] failover_load.the_leader_is_told_of_a_job_that_awaits_many_others the leader was not told Both pass now.

--- a/src/service/job_reader.cpp
+++ b/src/service/job_reader.cpp
@@ -43,27 +43,26 @@
   // What was read under an earlier leadership, or before the job's end, may be out of date.
   if (const auto known = from_memory(id)) co_return *known;
   if (active.outcome == JobRowOutcome::absent) co_return co_await read_final(id);
-  if (ctx_.term != term || ctx_.loop.update_time() - began > lookup_timeout) co_return JobLookup{};
-  // The dependencies of a job whose row cannot be decoded are unknown; a job without any is active while its row
-  // exists.
-  if (!active.job && active.dependent) co_return JobLookup{};
-  if (!active.job) co_return JobLookup{Existence::exists, {id, JobPhase::pending, 0, 0}};
+  JobLookup lookup = co_await confirm_active(std::move(active), id, term, began);
+  lookup.row_exists = true;
+  co_return lookup;
+}
+
+// Returns the state of a job whose row exists. `term` and `began` belong to the read of that row.
+rt::Task<JobLookup> JobReader::confirm_active(JobRowStore::Read row, JobId id, std::uint64_t term, Time began) {
+  const auto is_outdated = [&] { return ctx_.term != term || ctx_.loop.update_time() - began > lookup_timeout; };
+  if (is_outdated()) co_return JobLookup{};
   // The row was written by this leader while it was busy, or by another node: in both cases the job is to run.
-  Job job = *active.job;
-  if (ctx_.has_valid_lease()) {
-    leader_service_.adopt_job(term, std::move(*active.job), active.version);
+  if (row.job && ctx_.has_valid_lease()) {
+    leader_service_.adopt_job(term, *row.job, row.version);
     if (const auto known = from_memory(id)) co_return *known;
   }
-  co_return co_await confirm_active(std::move(job), term, began);
-}
-
-// Returns the state of a job whose row is in the store. `term` and `began` belong to the read of that row.
-rt::Task<JobLookup> JobReader::confirm_active(Job job, std::uint64_t term, Time began) {
-  const JobId id = job.spec.id;
-  if (job.dependent) {
-    const bool active = co_await may_report_active(std::move(job));
+  if (row.dependent) {
+    // The dependencies of a job whose row cannot be decoded are unknown.
+    if (!row.job) co_return JobLookup{};
+    const bool active = co_await may_report_active(std::move(*row.job));
     if (const auto known = from_memory(id)) co_return *known;
-    if (!active || ctx_.term != term || ctx_.loop.update_time() - began > lookup_timeout) co_return JobLookup{};
+    if (!active || is_outdated()) co_return JobLookup{};
   }
   co_return JobLookup{Existence::exists, {id, JobPhase::pending, 0, 0}};
 }
--- a/src/service/job_reader.hpp
+++ b/src/service/job_reader.hpp
@@ -23,9 +23,12 @@
 // The result of a lookup.
 struct JobLookup {
   Existence existence = Existence::unknown;
-  JobStatus status;  // valid if the job exists
+  JobStatus status;         // valid if the job exists
+  bool row_exists = false;  // the row of the unfinished job was read from the store, even if its state is unknown
   // Returns whether the job was accepted.
   [[nodiscard]] bool exists() const { return existence == Existence::exists; }
+  // Returns whether the job was accepted and has not ended, so that the leader must know it.
+  [[nodiscard]] bool is_unfinished() const { return exists() ? !is_final(status.phase) : row_exists; }
 };
 
 // Maximum time of a lookup. A user waits 2 s for a poll; an older read could return a state older than one that another
@@ -55,7 +58,7 @@
   rt::Task<JobLookup> read_final(JobId id);
 
  private:
-  rt::Task<JobLookup> confirm_active(Job job, std::uint64_t term, Time began);
+  rt::Task<JobLookup> confirm_active(JobRowStore::Read row, JobId id, std::uint64_t term, Time began);
   rt::Task<bool> may_report_active(Job job);
 
   Context& ctx_;
--- a/src/service/status_query_service.cpp
+++ b/src/service/status_query_service.cpp
@@ -182,7 +182,7 @@
       co_await answer_from_rows(*query, ended);
     }
   }
-  for (const auto& query : batch) announce_if_active(*query);
+  for (const auto& query : batch) announce_if_unknown_to_leader(*query);
 }
 
 bool StatusQueryService::resolve_from_memory(StatusQuery& query) {
@@ -217,13 +217,14 @@
   resolve(query, std::move(lookup), Source::compared_final);
 }
 
-// Announces a job that is in the store and not finished, but that the leader did not know.
-void StatusQueryService::announce_if_active(const StatusQuery& query) {
+// Announces a job that is in the store and not finished, but that the leader did not know. This node may be unable to
+// report the job's state, for example because a dependency was cancelled: the leader must know the job all the same.
+void StatusQueryService::announce_if_unknown_to_leader(const StatusQuery& query) {
   if (!query.unknown_to_leader) return;
-  const bool active = query.lookup->exists() && !is_final(query.lookup->status.phase);
+  const bool unfinished = query.lookup->is_unfinished();
   ctx_.log->debug("job unknown to the leader job={} existence={} announced={}", query.id.value(),
-                  name_of(query.lookup->existence), active);
-  if (active) inbox_.announce_job(query.id);
+                  name_of(query.lookup->existence), unfinished);
+  if (unfinished) inbox_.announce_job(query.id);
 }
 
 }  // namespace martenwall::service
--- a/src/service/status_query_service.hpp
+++ b/src/service/status_query_service.hpp
@@ -53,7 +53,7 @@
   bool resolve_from_memory(StatusQuery& query);
   bool resolve_active(StatusQuery& query, const KeyComparison& compared);
   void resolve(StatusQuery& query, JobLookup lookup, metrics::LookupSource source);
-  void announce_if_active(const StatusQuery& query);
+  void announce_if_unknown_to_leader(const StatusQuery& query);
   void count(metrics::LookupSource source) { ctx_.metrics.count_lookup(metrics::LookupPurpose::status_query, source); }
   [[nodiscard]] std::size_t jobs_per_comparison() const;
   [[nodiscard]] std::string placement_key(const JobId& id) const;
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -81,6 +81,7 @@
 // Returns the job's state if the store has the job; otherwise 503 with the given reason.
 rt::Task<rt::HttpResponse> SubmissionService::answer_if_stored(JobId id, std::string retry_reason) {
   const JobLookup lookup = co_await reader_.read_status(id);
+  announce_if_unfinished(id, lookup);
   if (lookup.exists()) co_return status_response(200, lookup.status);
   co_return retry_later(retry_reason);
 }
@@ -137,7 +138,8 @@
   std::string inbox_node = as_leader ? "" : ctx_.settings.node;
   const TxnResult stored = co_await job_rows_.store_new_job(job, std::move(inbox_node));
   if (stored.outcome == TxnOutcome::refused) co_return retry_later("the state service does not answer");
-  if (stored.outcome != TxnOutcome::committed) co_return co_await answer_already_stored(id);
+  // The job is already known, or its write got no answer: a read of the store decides.
+  if (stored.outcome != TxnOutcome::committed) co_return co_await answer_if_stored(id, "not known to be stored");
   if (as_leader) leader_service_.adopt_job(term, std::move(job), KeyVersion{stored.revision.value()});
   // If this node lost the leadership during the write, the row was written without an inbox entry. The next leader may
   // have loaded the store before that, and the job would wait until the store is loaded again.
@@ -145,13 +147,10 @@
   co_return status_response(201, JobStatus{id, JobPhase::pending, 0, 0});
 }
 
-// Handles a job that is already known, or whose write got no answer: a read of the store decides.
-rt::Task<rt::HttpResponse> SubmissionService::answer_already_stored(JobId id) {
-  const JobLookup lookup = co_await reader_.read_status(id);
-  if (!lookup.exists()) co_return retry_later("not known to be stored");
-  // The row may stem from a former leader's write that was applied late and has no inbox entry for the next leader.
-  if (!ctx_.has_valid_lease() && !is_final(lookup.status.phase)) inbox_.announce_job(id);
-  co_return status_response(200, lookup.status);
+// Announces a stored job, unless this node leads. The row may stem from a leader's write that was applied late: it has
+// no inbox entry then, and no leader may know it.
+void SubmissionService::announce_if_unfinished(const JobId& id, const JobLookup& lookup) {
+  if (!ctx_.has_valid_lease() && lookup.is_unfinished()) inbox_.announce_job(id);
 }
 
 }  // namespace martenwall::service
--- a/src/service/submission_service.hpp
+++ b/src/service/submission_service.hpp
@@ -44,7 +44,7 @@
   rt::Task<rt::HttpResponse> accept(JobSpec spec, bool as_leader);
   rt::Task<rt::HttpResponse> accept_dependent(JobSpec spec, bool as_leader);
   rt::Task<rt::HttpResponse> store_job(JobSpec spec, bool as_leader);
-  rt::Task<rt::HttpResponse> answer_already_stored(JobId id);
+  void announce_if_unfinished(const JobId& id, const JobLookup& lookup);
 
   Context& ctx_;
   PeerService& peers_;
--- a/tests/failover_load_test.cpp
+++ b/tests/failover_load_test.cpp
@@ -34,6 +34,13 @@
   return r.request(at, "POST", "/api/jobs", wire::encode_job(spec).dump());
 }
 
+// Stores the row of an accepted job that no node has announced to the leader.
+void store_unannounced(Region& r, const JobSpec& spec) {
+  Job job;
+  job.spec = spec;
+  r.store().write(wire::job_key(spec.id, !spec.dependencies.empty()), wire::encode_job_row(job));
+}
+
 bool leader_knows(const Region& r, const JobId& id) {
   const auto leader = r.leader();
   return leader && r.context(*leader).scheduler->find_job(id) != nullptr;
@@ -169,5 +176,38 @@
   load.busy.expect_all_jobs_end(400);
 }
 
+// review/3: a node that learned that the leader does not know a stored job told the leader only if it could tell the
+// job's state. Here a dependency is cancelled, so that it may not call the job active.
+TEST(failover_load, the_leader_is_told_of_a_job_whose_dependency_is_cancelled) {
+  BusyRegion busy{307};
+  Region& r = busy.r;
+  wait_for_format_version(r, busy.old_leader);
+  const JobId cancelled = busy.jobs.at(0);
+  r.cancel(cancelled, {busy.old_leader});
+  ASSERT_TRUE(r.run_until(10, [&] { return r.rules().job(cancelled).reported_cancelled.has_value(); }));
+  const JobId id{"job-800004"};
+  store_unannounced(r, single_task(id, {cancelled}));
+  const auto follower = r.other_controller(busy.old_leader, 1);
+  EXPECT_EQ(503, poll(r, follower, id).status) << "its cancellation is not stored yet";
+  r.run(3);
+  const auto answer = poll(r, follower, id);
+  EXPECT_EQ(200, answer.status) << answer.body;
+  EXPECT_NE(std::string::npos, answer.body.find("withdrawn")) << answer.body;
+}
+
+// review/2: the same with a row that the node cannot decode or whose dependencies it cannot look up in time.
+TEST(failover_load, the_leader_is_told_of_a_job_that_awaits_many_others) {
+  BusyRegion busy{308};
+  Region& r = busy.r;
+  wait_for_format_version(r, busy.old_leader);
+  std::vector<JobId> dependencies = busy.jobs;
+  for (int i = 0; i < 14; ++i) dependencies.push_back(r.submit_array(1, 150));
+  r.run(5);
+  const JobId id{"job-800005"};
+  store_unannounced(r, single_task(id, dependencies));
+  poll(r, r.other_controller(busy.old_leader, 1), id);
+  EXPECT_TRUE(r.run_until(3, [&] { return leader_knows(r, id); })) << "the leader was not told";
+}
+
 }  // namespace
 }  // namespace martenwall
