Lookups: a job that awaits many others is known at a node without a leader

Cause: 12 reads a poll, from the first dependency on each time; beyond that the answer was "unknown", for good.

--- a/src/service/dependency_checker.cpp
+++ b/src/service/dependency_checker.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration compare_timeout = seconds(1);  // per transaction; a user waits 5 s
+constexpr std::size_t keys_per_job = 3;           // see `add_keys`
 
 void add_keys(std::vector<std::string>& keys, const JobId& id) {
   keys.push_back(wire::job_key(id, false));
@@ -43,7 +44,8 @@
   std::vector<std::string> keys;
   add_keys(keys, spec.id);
   for (const auto& id : parts.unresolved) add_keys(keys, id);
-  const KeyComparison compared = co_await find_existing(std::move(keys));
+  const KeyComparison compared =
+      co_await store_.find_existing_in_batches(std::move(keys), keys_per_job, compare_timeout);
   if (!compared.answered()) {
     count(Source::unanswered);
     co_return result;
@@ -73,9 +75,8 @@
   co_return result;
 }
 
-// Reads the progress of a job for which the comparison found no active key. The keys of one job are adjacent in the
-// comparison, but may be split over two transactions: a job that moves from its first key to its last one in between is
-// found at neither. A missing key is therefore read again before the job counts as never accepted.
+// Reads the progress of a job for which the comparison found no active key. A job that is at none of its keys is looked
+// for once more before it counts as never accepted.
 rt::Task<DependencyChecker::Progress> DependencyChecker::read_progress(JobId id) {
   JobLookup end = co_await reader_.read_final(id);
   if (end.existence == Existence::unknown) co_return Progress::unknown;
@@ -88,23 +89,4 @@
   co_return end.exists() && end.status.phase == JobPhase::done ? Progress::done : Progress::open;
 }
 
-// Returns which of the keys exist. Compares as many at a time as a transaction may name; that limit may shrink between
-// transactions.
-rt::Task<KeyComparison> DependencyChecker::find_existing(std::vector<std::string> keys) {
-  KeyComparison merged{KeyComparison::Outcome::answered, {}};
-  auto next = keys.cbegin();
-  while (next != keys.cend()) {
-    const auto remaining = static_cast<std::size_t>(keys.cend() - next);
-    const auto size = std::min(max_compared_keys(ctx_.limits), remaining);
-    const auto end = next + static_cast<std::ptrdiff_t>(size);
-    std::vector<std::string> chunk{next, end};
-    KeyComparison compared = co_await store_.find_existing(std::move(chunk), compare_timeout);
-    if (compared.outcome == KeyComparison::Outcome::too_many_keys) continue;
-    if (!compared.answered()) co_return compared;
-    merged.existing.merge(compared.existing);
-    next = end;
-  }
-  co_return merged;
-}
-
 }  // namespace martenwall::service
--- a/src/service/dependency_checker.hpp
+++ b/src/service/dependency_checker.hpp
@@ -48,7 +48,6 @@
     ctx_.metrics.count_lookup(metrics::LookupPurpose::dependency_check, source);
   }
   rt::Task<Progress> read_progress(JobId id);
-  rt::Task<KeyComparison> find_existing(std::vector<std::string> keys);
 
   Context& ctx_;
   StoreClient& store_;
--- a/src/service/dependency_lookups.hpp
+++ b/src/service/dependency_lookups.hpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "service/context.hpp"
+#include "service/final_state_reader.hpp"
 #include "service/job_adopter.hpp"
 #include "service/job_row_store.hpp"
 #include "service/store_client.hpp"
@@ -13,7 +14,7 @@
 class DependencyLookups {
  public:
   DependencyLookups(Context& ctx, StoreClient& store, JobRowStore& job_rows, JobAdopter& adopter)
-      : ctx_(ctx), store_(store), job_rows_(job_rows), adopter_(adopter) {}
+      : ctx_(ctx), job_rows_(job_rows), adopter_(adopter), final_states_(ctx, store) {}
 
   // Executes the lookups that the scheduler requests until `term` is over. A failed lookup is returned to it for a
   // retry.
@@ -21,17 +22,14 @@
 
  private:
   rt::Task<void> look_up_all(std::uint64_t term, std::vector<JobId> ids);
-  rt::Task<void> look_up_one(std::uint64_t term, JobId id);
-  std::size_t apply_page(std::uint64_t term, const std::vector<JobId>& ids, std::size_t first,
-                         const wire::StorePage& page);
+  void apply(std::uint64_t term, const FinalState& state);
   rt::Task<void> adopt_unfinished(std::uint64_t term, JobId id);
-  void on_end_found(const JobId& id, const FinalJob& final_job);
   void answer_from_cache(std::vector<JobId>& ids);
 
   Context& ctx_;
-  StoreClient& store_;
   JobRowStore& job_rows_;
   JobAdopter& adopter_;
+  FinalStateReader final_states_;
 };
 
 }  // namespace martenwall::service
--- a/src/service/job_reader.cpp
+++ b/src/service/job_reader.cpp
@@ -1,7 +1,6 @@
 #include "service/job_reader.hpp"
 
-#include <set>
-#include <vector>
+#include <utility>
 
 namespace martenwall::service {
 
@@ -9,7 +8,6 @@
 constexpr Duration final_read_timeout =
     seconds(0.7);  // a lookup has time for two of these reads, or for one after the read of a job row
 constexpr Duration release_read_timeout = seconds(0.5);  // leaves time for the reads of the dependencies
-constexpr int max_dependency_reads = 12;                 // per poll: more would not end within its timeout
 }  // namespace
 
 std::string_view name_of(Existence existence) {
@@ -25,7 +23,12 @@
 }
 
 JobReader::JobReader(Context& ctx, StoreClient& store, LeaderService& leader_service, JobRowStore& job_rows)
-    : ctx_(ctx), store_(store), leader_service_(leader_service), job_rows_(job_rows) {}
+    : ctx_(ctx),
+      store_(store),
+      leader_service_(leader_service),
+      job_rows_(job_rows),
+      final_states_(ctx, store),
+      dependency_walk_(ctx, store, job_rows) {}
 
 std::optional<JobLookup> JobReader::from_memory(const JobId& id) const {
   if (const auto finished = ctx_.finished_jobs.find(id)) return JobLookup{Existence::exists, *finished};
@@ -60,7 +63,7 @@
   if (row.dependent) {
     // The dependencies of a job whose row cannot be decoded are unknown.
     if (!row.job) co_return JobLookup{};
-    const bool active = co_await may_report_active(std::move(*row.job));
+    const bool active = co_await may_report_active(std::move(*row.job), began + lookup_timeout);
     if (const auto known = from_memory(id)) co_return *known;
     if (!active || is_outdated()) co_return JobLookup{};
   }
@@ -70,40 +73,18 @@
 // Returns false unless reads of the store show that none of the job's dependencies is cancelled. Only the leader knows
 // this without reading: a cancellation also cancels all jobs that depend on the cancelled one, and may not have reached
 // this job yet.
-rt::Task<bool> JobReader::may_report_active(Job job) {
+rt::Task<bool> JobReader::may_report_active(Job job, Time deadline) {
   const ReadResult released = co_await store_.get(wire::tasks_key(job.spec.id, 0), release_read_timeout);
   if (released.outcome != ReadOutcome::absent) co_return released.outcome == ReadOutcome::found;
-  std::vector<JobId> unchecked = job.spec.dependencies;
-  std::set<JobId> checked;
-  for (int reads = 0; !unchecked.empty(); reads += 2) {
-    const JobId id = unchecked.back();
-    unchecked.pop_back();
-    if (!checked.insert(id).second) continue;
-    const auto finished = ctx_.finished_jobs.find(id);
-    if (finished && finished->phase == JobPhase::done) continue;
-    if (finished || reads >= max_dependency_reads) co_return false;
-    const JobRowStore::Read row = co_await job_rows_.read_at(id, true);
-    if (row.outcome == JobRowOutcome::failed || row.outcome == JobRowOutcome::unreadable) co_return false;
-    if (row.outcome == JobRowOutcome::found) {
-      const auto& next_dependencies = row.job->spec.dependencies;
-      unchecked.insert(unchecked.end(), next_dependencies.begin(), next_dependencies.end());
-      continue;
-    }
-    const JobLookup end = co_await read_final(id);
-    if (end.existence == Existence::unknown || (end.exists() && end.status.phase != JobPhase::done)) co_return false;
-  }
-  co_return true;
+  const auto result = co_await dependency_walk_.run(std::move(job.spec.dependencies), deadline);
+  co_return result == DependencyWalk::Result::none_cancelled;
 }
 
 rt::Task<JobLookup> JobReader::read_final(JobId id) {
-  const ReadResult row = co_await store_.get(wire::final_key(id), final_read_timeout);
-  if (row.outcome == ReadOutcome::failed) co_return JobLookup{};
-  if (row.outcome == ReadOutcome::absent) co_return JobLookup{Existence::absent, {}};
-  const auto final_job = wire::decode_final(id, row.item.value);
-  if (!final_job) co_return JobLookup{};
-  const JobStatus status{id, final_job->phase, final_job->done, 0};
-  ctx_.finished_jobs.add(status);
-  co_return JobLookup{Existence::exists, status};
+  const FinalState state = co_await final_states_.read(id, final_read_timeout);
+  if (state.outcome == FinalState::Outcome::absent) co_return JobLookup{Existence::absent, {}};
+  if (!state.job) co_return JobLookup{};
+  co_return JobLookup{Existence::exists, {id, state.job->phase, state.job->done, 0}};
 }
 
 }  // namespace martenwall::service
--- a/src/service/job_reader.hpp
+++ b/src/service/job_reader.hpp
@@ -4,6 +4,8 @@
 #include <string_view>
 
 #include "service/context.hpp"
+#include "service/dependency_walk.hpp"
+#include "service/final_state_reader.hpp"
 #include "service/job_row_store.hpp"
 #include "service/leader_service.hpp"
 #include "service/store_client.hpp"
@@ -35,9 +37,6 @@
 // node has reported to the user since.
 constexpr Duration lookup_timeout = seconds(1.5);
 
-// Returns how many keys one compare-only transaction may name: by PROTOCOL four times as many as it may change.
-inline std::size_t max_compared_keys(const StoreLimits& limits) { return limits.txn_ops() * 4; }
-
 // Looks up jobs for submissions, polls and cancellations, in memory and then in the store. Never returns a state that
 // is older than the call: state that may change during a suspension is checked again after it.
 class JobReader {
@@ -59,12 +58,14 @@
 
  private:
   rt::Task<JobLookup> confirm_active(JobRowStore::Read row, JobId id, std::uint64_t term, Time began);
-  rt::Task<bool> may_report_active(Job job);
+  rt::Task<bool> may_report_active(Job job, Time deadline);
 
   Context& ctx_;
   StoreClient& store_;
   LeaderService& leader_service_;
   JobRowStore& job_rows_;
+  FinalStateReader final_states_;
+  DependencyWalk dependency_walk_;
 };
 
 }  // namespace martenwall::service
--- a/src/service/store_client.cpp
+++ b/src/service/store_client.cpp
@@ -211,6 +211,25 @@
   co_return KeyComparison{limits_lowered ? Outcome::too_many_keys : Outcome::unanswered, {}};
 }
 
+// The store's limit may shrink between transactions.
+rt::Task<KeyComparison> StoreClient::find_existing_in_batches(std::vector<std::string> keys, std::size_t group_size,
+                                                              Duration timeout) {
+  KeyComparison merged{KeyComparison::Outcome::answered, {}};
+  auto next = keys.cbegin();
+  while (next != keys.cend()) {
+    const auto remaining = static_cast<std::size_t>(keys.cend() - next);
+    const auto groups = std::max<std::size_t>(1, max_compared_keys(ctx_.limits) / group_size);
+    const auto end = next + static_cast<std::ptrdiff_t>(std::min(groups * group_size, remaining));
+    std::vector<std::string> batch{next, end};
+    KeyComparison compared = co_await find_existing(std::move(batch), timeout);
+    if (compared.outcome == KeyComparison::Outcome::too_many_keys) continue;
+    if (!compared.answered()) co_return compared;
+    merged.existing.merge(compared.existing);
+    next = end;
+  }
+  co_return merged;
+}
+
 // A conflict response names the keys that exist. One that names no key, or keys that were not queried, is unusable and
 // must not be interpreted as "none exists".
 KeyComparison StoreClient::parse_conflict(const std::string& body, const std::vector<wire::Condition>& conditions) {
--- a/src/service/store_client.hpp
+++ b/src/service/store_client.hpp
@@ -49,6 +49,9 @@
   [[nodiscard]] bool contains(const std::string& key) const { return existing.contains(key); }
 };
 
+// Returns how many keys one compare-only transaction may name: by PROTOCOL four times as many as it may change.
+inline std::size_t max_compared_keys(const StoreLimits& limits) { return limits.txn_ops() * 4; }
+
 // All requests of this node to the store go through a single client. Unless stated otherwise, a request first waits for
 // this node's share of the store's rates, for at most its timeout, and fails or is refused if the share does not
 // suffice by then. Timeouts limit the wait for the response. Nothing is retried here.
@@ -73,6 +76,11 @@
                           Duration timeout, Queueing queueing = Queueing::priority);
   // Determines which of the keys exist at a single revision, by a transaction that consists of conditions only.
   rt::Task<KeyComparison> find_existing(std::vector<std::string> keys, Duration timeout);
+  // Determines the same for any number of keys, by as many transactions as the store's limit requires. The keys are
+  // grouped by `group_size`, such as all keys of one job; the keys of a group are compared at a single revision.
+  // `timeout` applies to each transaction.
+  rt::Task<KeyComparison> find_existing_in_batches(std::vector<std::string> keys, std::size_t group_size,
+                                                   Duration timeout);
   // Returns whether enough of this node's share of writes is unused for deferrable writes.
   [[nodiscard]] bool has_unused_write_rate();
   // Returns the used part of this node's share of requests, 0 to 1.
--- a/tests/failover_load_test.cpp
+++ b/tests/failover_load_test.cpp
@@ -209,5 +209,41 @@
   EXPECT_TRUE(r.run_until(3, [&] { return leader_knows(r, id); })) << "the leader was not told";
 }
 
+// A node that does not reach the leader gave up after reading six of the jobs that a job awaits, at each poll.
+TEST(failover_load, a_job_that_awaits_many_others_is_known_at_a_node_that_does_not_reach_the_leader) {
+  BusyRegion busy{309};
+  Region& r = busy.r;
+  wait_for_format_version(r, busy.old_leader);
+  // Two levels of jobs that wait, on top of jobs that run or are done.
+  std::vector<JobId> running = busy.jobs;
+  for (int i = 0; i < 14; ++i) running.push_back(r.submit_array(1, i < 7 ? 3 : 300));
+  r.run(20);
+  std::vector<JobId> waiting;
+  for (int i = 0; i < 10; ++i) {
+    const JobId id{"job-80010" + std::to_string(i)};
+    ASSERT_EQ(201, submit(r, busy.old_leader, single_task(id, running)).status);
+    waiting.push_back(id);
+  }
+  const JobId last{"job-800110"};
+  ASSERT_EQ(201, submit(r, busy.old_leader, single_task(last, waiting)).status);
+  const auto isolated = r.other_controller(busy.old_leader, 1);
+  r.cut_links(isolated, no_return_s);
+  r.run(10);
+  const auto answered = [&](const JobId& id) {
+    for (int polls = 0; polls < 4; ++polls) {
+      if (poll(r, isolated, id).status == 200) return true;
+      r.run(5);
+    }
+    return false;
+  };
+  EXPECT_TRUE(answered(waiting.front()));
+  EXPECT_TRUE(answered(last));
+  // What is known to be done is remembered; a cancellation is not overlooked for it.
+  r.cancel(busy.jobs.at(0), {busy.old_leader});
+  ASSERT_TRUE(r.run_until(20, [&] { return r.rules().job(busy.jobs.at(0)).reported_cancelled.has_value(); }));
+  const auto answer = poll(r, isolated, last);
+  EXPECT_TRUE(answer.status == 503 || answer.body.find("withdrawn") != std::string::npos) << answer.body;
+}
+
 }  // namespace
 }  // namespace martenwall
