Submissions: a leader stores a job on condition that it still leads

Cause: a leader stored jobs on condition of their own keys only and without an entry for its successor. The entry written afterwards could fail; 201 followed all the same. Change: the version of the leader key is a condition, as in all other writes of a leader. Otherwise 503; the user tries again. The entry afterwards is gone.

--- a/src/service/job_row_store.cpp
+++ b/src/service/job_row_store.cpp
@@ -99,7 +99,7 @@
   co_return true;
 }
 
-rt::Task<TxnResult> JobRowStore::store_new_job(Job& job, std::string announcing_node) {
+rt::Task<TxnResult> JobRowStore::store_new_job(Job& job, Writer writer) {
   const auto& id = job.spec.id;
   job.dependent = !job.spec.dependencies.empty();
   wire::json row = wire::encode_job_row(job);
@@ -116,8 +116,11 @@
                                           {wire::final_key(id), KeyVersion{0}}};
   std::vector<wire::StoreOp> operations;
   operations.push_back({wire::job_key(id, job.dependent), std::move(row), std::nullopt});
-  if (!announcing_node.empty())
-    operations.push_back({wire::inbox_key(id), wire::encode_inbox_entry(announcing_node, false), std::nullopt});
+  if (writer.leader_token) {
+    conditions.push_back({wire::leader_key, KeyVersion{writer.leader_token->value()}});
+  } else {
+    operations.push_back({wire::inbox_key(id), wire::encode_inbox_entry(writer.announcing_node, false), std::nullopt});
+  }
   co_return co_await store_.txn(std::move(conditions), std::move(operations), seconds(1.5));
 }
 
--- a/src/service/job_row_store.hpp
+++ b/src/service/job_row_store.hpp
@@ -50,10 +50,15 @@
   rt::Task<Read> read(JobId id);
   // Reads the row at only one of the two keys.
   rt::Task<Read> read_at(JobId id, bool dependent);
-  // Stores a job on condition that it does not exist and has not finished. Also writes an inbox entry for the leader if
-  // `announcing_node`, the name of the writing node, is not empty. Writes the row itself last: without it the job is
-  // not accepted, even if chunks of it exist.
-  rt::Task<TxnResult> store_new_job(Job& job, std::string announcing_node);
+  // How the leader learns of a new job: it is the leader that stores it, or an inbox entry is stored with it.
+  struct Writer {
+    std::optional<FencingToken> leader_token;  // of the leader that stores the job
+    std::string announcing_node;               // name of the node that stores the entry
+  };
+  // Stores a job on condition that it does not exist and has not finished. A leader stores it on condition that it
+  // still leads: the next leader reads the rows once. Writes the row itself last: without it the job is not accepted,
+  // even if chunks of it exist.
+  rt::Task<TxnResult> store_new_job(Job& job, Writer writer);
 
  private:
   rt::Task<JobRowOutcome> read_chunks(JobId id, wire::json row, JobRowChunks& chunks);
--- a/src/service/submission_service.cpp
+++ b/src/service/submission_service.cpp
@@ -135,15 +135,14 @@
   job.spec = std::move(spec);
   job.submitted = ctx_.now();
   job.submitted_wall_ms = Context::wall_ms();
-  std::string inbox_node = as_leader ? "" : ctx_.settings.node;
-  const TxnResult stored = co_await job_rows_.store_new_job(job, std::move(inbox_node));
+  JobRowStore::Writer writer;
+  if (as_leader) writer.leader_token = ctx_.leadership.token();
+  if (!as_leader) writer.announcing_node = ctx_.settings.node;
+  const TxnResult stored = co_await job_rows_.store_new_job(job, std::move(writer));
   if (stored.outcome == TxnOutcome::refused) co_return retry_later("the state service does not answer");
   // The job is already known, or its write got no answer: a read of the store decides.
   if (stored.outcome != TxnOutcome::committed) co_return co_await answer_if_stored(id, "not known to be stored");
   if (as_leader) leader_service_.adopt_job(term, std::move(job), KeyVersion{stored.revision.value()});
-  // If this node lost the leadership during the write, the row was written without an inbox entry. The next leader may
-  // have loaded the store before that, and the job would wait until the store is loaded again.
-  if (as_leader && !ctx_.leads(term)) co_await inbox_.write_entry(id);
   co_return status_response(201, JobStatus{id, JobPhase::pending, 0, 0});
 }
 
--- a/tests/failover_load_test.cpp
+++ b/tests/failover_load_test.cpp
@@ -245,5 +245,28 @@
   EXPECT_TRUE(answer.status == 503 || answer.body.find("withdrawn") != std::string::npos) << answer.body;
 }
 
+// A leader whose lease ends while a submission is on its way stored the job without an entry for the next leader, which
+// had already listed the jobs. It wrote the entry afterwards, and answered 201 even if it could not.
+TEST(failover_load, a_submission_committed_after_the_leaders_lease_is_not_lost) {
+  BusyRegion busy{310};
+  Region& r = busy.r;
+  const auto former = busy.old_leader;
+  auto& faults = r.store().faults(former);
+  faults.refuses_until = r.now() + seconds(1.2);
+  r.run(1.2);
+  faults.response_delay = seconds(1.4);
+  faults.delayed_until = r.now() + seconds(30);
+  ASSERT_EQ(former, r.leader()) << "its lease has ended already";
+  const JobId id{"job-800006"};
+  r.store().on_commit = [&](const json& txn, bool) {
+    if (region::sets(txn, wire::job_key(id))) faults.refuses_until = r.now() + seconds(30);
+  };
+  const auto answer = submit(r, former, single_task(id));
+  ASSERT_TRUE(r.run_until(5, [&] { return r.leader() && r.leader() != former; }));
+  const bool accepted = answer.status == 200 || answer.status == 201;
+  EXPECT_EQ(accepted, r.store().has(wire::job_key(id))) << answer.status;
+  EXPECT_TRUE(!accepted || leader_knows(r, id)) << "accepted, and unknown to the leader";
+}
+
 }  // namespace
 }  // namespace martenwall
