Announcements: one replaces an entry that the leader has processed already

Callers would see: a poll that should tell the leader of a job does not. Cause: an entry was written on condition that there is none. One that the leader had processed and not removed yet hid all others, since its watch tells of changes only; one that could not be written counted as written for 20 s. Change: the entry is read and replaced on condition of its version, with its request to cancel if it has one. What was not written is tried again. Result: on the sources before: [ FAILED ] failover_load.a_job_is_announced_beside_an_entry_that_was_already_processed the leader was not told It passes now.

--- a/src/service/inbox_writer.cpp
+++ b/src/service/inbox_writer.cpp
@@ -14,14 +14,25 @@
 void InboxWriter::announce_job(const JobId& id) {
   std::erase_if(announced_at_, [&](const auto& entry) { return ctx_.now() - entry.second > announcement_interval; });
   if (announced_at_.size() >= max_announced || !announced_at_.emplace(id, ctx_.now()).second) return;
-  rt::spawn(write_entry(id));  // detached: returns at the transaction's timeout at the latest
+  rt::spawn(announce(id));  // detached: returns at the transaction's timeout at the latest
 }
 
-rt::Task<void> InboxWriter::write_entry(JobId id) {
+rt::Task<void> InboxWriter::announce(JobId id) {
+  const bool written = co_await write_entry(id);
+  if (!written) announced_at_.erase(id);
+}
+
+// Replaces an existing entry: the leader may have processed that one already, and its watch reports changes only.
+rt::Task<bool> InboxWriter::write_entry(JobId id) {
+  const ReadResult current = co_await store_.get(wire::inbox_key(id), entry_timeout);
+  if (current.outcome == ReadOutcome::failed) co_return false;
+  const bool exists = current.outcome == ReadOutcome::found;
+  const bool cancel = exists && wire::requests_cancellation(current.item.value);
   std::vector<wire::StoreOp> operations;
-  operations.push_back({wire::inbox_key(id), wire::encode_inbox_entry(ctx_.settings.node, false), std::nullopt});
-  std::vector<wire::Condition> conditions{{wire::inbox_key(id), KeyVersion{0}}};
-  co_await store_.txn(std::move(conditions), std::move(operations), entry_timeout);
+  operations.push_back({wire::inbox_key(id), wire::encode_inbox_entry(ctx_.settings.node, cancel), std::nullopt});
+  std::vector<wire::Condition> conditions{{wire::inbox_key(id), exists ? current.item.version : KeyVersion{0}}};
+  const TxnResult written = co_await store_.txn(std::move(conditions), std::move(operations), entry_timeout);
+  co_return written.outcome == TxnOutcome::committed;
 }
 
 rt::Task<bool> InboxWriter::request_cancellation(JobId id) {
--- a/src/service/inbox_writer.hpp
+++ b/src/service/inbox_writer.hpp
@@ -14,18 +14,17 @@
   InboxWriter(Context& ctx, StoreClient& store);
 
   // Announces a stored job that may be unknown to the leader, because a write of the leader was applied late, after the
-  // leader had abandoned it, or at the moment of a failover. Without the entry the job would wait for the next leader.
-  // Returns immediately; the entry is written in the background, at most once per job in 20 s.
+  // leader had abandoned it. Without the entry the job would wait for the next leader. Returns immediately; the entry
+  // is written in the background, at most once per job in 20 s.
   void announce_job(const JobId& id);
 
-  // Writes the same entry and waits for the write. Never replaces an existing entry, which may request a cancellation.
-  // Does not report whether the entry was stored.
-  rt::Task<void> write_entry(JobId id);
-
   // Requests that the leader cancel the job. Returns false if the store did not confirm the entry.
   rt::Task<bool> request_cancellation(JobId id);
 
  private:
+  rt::Task<void> announce(JobId id);
+  rt::Task<bool> write_entry(JobId id);
+
   Context& ctx_;
   StoreClient& store_;
   std::unordered_map<JobId, Time> announced_at_;
--- a/tests/failover_load_test.cpp
+++ b/tests/failover_load_test.cpp
@@ -268,5 +268,22 @@
   EXPECT_TRUE(!accepted || leader_knows(r, id)) << "accepted, and unknown to the leader";
 }
 
+// An entry that the leader has processed and not removed yet hid later announcements of the same job.
+TEST(failover_load, a_job_is_announced_beside_an_entry_that_was_already_processed) {
+  BusyRegion busy{311};
+  Region& r = busy.r;
+  const auto leader = busy.old_leader;
+  const JobId id{"job-800007"};
+  // The leader's removal of the entry is carried out late.
+  r.store().faults(leader).late_share = 1;
+  r.store().faults(leader).late_until = r.now() + seconds(8);
+  r.store().write(wire::inbox_key(id), wire::encode_inbox_entry("ash", false));
+  r.run(1);
+  store_unannounced(r, single_task(id));
+  ASSERT_TRUE(r.store().has(wire::inbox_key(id)));
+  poll(r, r.other_controller(leader, 1), id);
+  EXPECT_TRUE(r.run_until(1, [&] { return leader_knows(r, id); })) << "the leader was not told";
+}
+
 }  // namespace
 }  // namespace martenwall
