Configuration: a row that cannot be decoded is neither none nor another's

Callers would see: `config get` tells version 0 for a configuration whose row cannot be decoded, as if there were none; a change in doubt whose row of changes cannot be decoded is told 409 although it was applied. Cause: as for job rows: "is not there" and "cannot be decoded" were one value. Change: no version is told for the one, and the other's outcome stays unknown.

--- a/src/service/configuration_changes.cpp
+++ b/src/service/configuration_changes.cpp
@@ -210,9 +210,10 @@
   // Another transaction was committed after this one or before it: this version's row of changes shows which.
   const ReadResult result = co_await store_.get(wire::changes_key(transaction.version), store_timeout);
   if (result.outcome == ReadOutcome::failed) co_return TransactionState::unreadable;
-  const auto changes = result.outcome == ReadOutcome::found ? wire::decode_changes(result.item.value) : std::nullopt;
-  const bool is_own = changes.has_value() && changes->transaction_id == transaction.id;
-  co_return is_own ? TransactionState::committed : TransactionState::not_committed;
+  if (result.outcome == ReadOutcome::absent) co_return TransactionState::not_committed;
+  const auto changes = wire::decode_changes(result.item.value);
+  if (!changes) co_return TransactionState::unreadable;
+  co_return changes->transaction_id == transaction.id ? TransactionState::committed : TransactionState::not_committed;
 }
 
 // Repeats the same transaction until its outcome is known: its conditions let at most one attempt succeed.
--- a/src/service/configuration_service.cpp
+++ b/src/service/configuration_service.cpp
@@ -99,7 +99,8 @@
                       {"state", name_of(ctx_.validity.state())},
                       {"document", row ? row->document : nlohmann::json::object()},
                       {"teams", config::teams_document(ctx_.configuration.teams)}};
-  if (result.outcome != ReadOutcome::failed) body["version"] = row ? row->version.value() : 0;
+  // A row that cannot be decoded has an unknown version, as one that could not be read.
+  if (row || result.outcome == ReadOutcome::absent) body["version"] = row ? row->version.value() : 0;
   co_return wire::PeerReply{200, body.dump(), {}};
 }
 
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -351,6 +351,41 @@
   }
 }
 
+// The same if the row that would show the outcome cannot be decoded: it counted as the row of another change.
+TEST(configuration, a_change_in_doubt_whose_row_of_changes_cannot_be_decoded_is_not_called_refused) {
+  BusyRegion busy{217};
+  Region& r = busy.r;
+  ASSERT_EQ(200, r.configure(busy.old_leader, change(red(999)))->status);
+  r.store().make_late([](std::size_t, const json& txn) { return region::sets(txn, wire::configuration_key); },
+                      Duration{0});
+  r.store().on_commit = [&](const json& txn, bool late) {
+    if (!late || !region::sets(txn, wire::configuration_key)) return;
+    auto row = wire::decode_configuration(*r.store().value(wire::configuration_key));
+    ASSERT_TRUE(row);
+    r.store().write(wire::changes_key(row->version), json{{"later_format", 1}});
+    row->transaction_id = "another-1";
+    r.store().write(wire::configuration_key, wire::encode_configuration(*row));
+  };
+  const auto reply = r.configure(busy.old_leader, change(red(500), 1));
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(504, reply->status) << reply->body;
+}
+
+// A configuration whose row cannot be decoded was reported as version 0, as if there were none.
+TEST(configuration, one_that_cannot_be_decoded_is_not_reported_as_none) {
+  BusyRegion busy{218};
+  Region& r = busy.r;
+  const auto version = [&] {
+    const auto reply = r.configure(busy.old_leader, wire::ConfigurationRequest{});
+    return reply ? json::parse(reply->body).value("version", -1) : -2;
+  };
+  EXPECT_EQ(0, version());
+  ASSERT_EQ(200, r.configure(busy.old_leader, change(red(999)))->status);
+  EXPECT_EQ(1, version());
+  r.store().write(wire::configuration_key, json{{"later_format", 1}});
+  EXPECT_EQ(-1, version());
+}
+
 TEST(configuration, changes_that_race_are_applied_one_after_the_other) {
   BusyRegion busy{214};
   Region& r = busy.r;
