Cascades: dependents are told that they are cancelled once the root's end is stored

Cause: the leader said nothing of them until then, although a cascade begins only once its root's end is stored, from which every leader derives the others. Change: Scheduler::status tells the cancellation from there on.

--- a/src/core/scheduler/dependency_tracker.hpp
+++ b/src/core/scheduler/dependency_tracker.hpp
@@ -42,6 +42,8 @@
   // these ends are stored.
   void add_cascade(const JobId& root, std::set<JobId> cancelled);
   void add_to_cascade(const JobId& root, const JobId& cancelled) { cascade_root_of_[cancelled] = root; }
+  // Returns whether a cascade cancelled the job and the job's own end is not stored yet.
+  [[nodiscard]] bool is_cancelled_by_cascade(const JobId& id) const { return cascade_root_of_.contains(id); }
   // Handles the stored end of a job that a cascade cancelled.
   void on_end_stored(const JobId& id);
   // Returns whether the ends of all jobs that this job's cancellation cancelled are stored.
--- a/src/core/scheduler/scheduler.cpp
+++ b/src/core/scheduler/scheduler.cpp
@@ -197,6 +197,9 @@
   if (job == nullptr || job->residual) return std::nullopt;
   // Stored tasks show that an earlier leader had found all dependencies done; without any, they are unknown.
   if (job->unreadable && job->dependent && job->task_ranges.empty()) return std::nullopt;
+  // A cascade begins once the end of its root is stored. From there on every leader cancels this job, so that its end
+  // is certain before it is stored.
+  if (dependencies_.is_cancelled_by_cascade(id)) return JobStatus{id, job->phase, job->done.count(), 0};
   // A dependency may already be cancelled, and its user notified. The job is therefore not reported as active while
   // dependencies are being looked up or while its own end is not stored.
   const bool has_open_dependencies = !job->end_is_stored && !job->open_dependencies.empty();
--- a/tests/region/region.hpp
+++ b/tests/region/region.hpp
@@ -28,6 +28,7 @@
   double boot_s = 4;
   std::size_t max_machines = 40;
   double write_rps = 1e9;            // key changes per second that the store accepts
+  std::size_t txn_ops = 48;          // changes that the controllers put into one transaction at most
   double value_bytes = 32.0 * 1024;  // size limit of a value that the controllers keep to
 };
 
