--- a/src/service/dependency_walk.hpp
+++ b/src/service/dependency_walk.hpp
@@ -13,8 +13,8 @@
 namespace martenwall::service {
 
 // Visits the graph level by level: one comparison tells the state of many jobs at a time. What cannot change any more,
-// the end of a job and the list of its dependencies, is cached: a walk that ran out of time lets the next one begin
-// further up, so that repeated walks come to a result whatever the size of the graph.
+// the end of a job and the list of its dependencies, is cached, so that a walk after one that ran out of time needs
+// fewer requests: in the end the comparisons only.
 class DependencyWalk {
  public:
   // All references belong to the node and outlive this object.
