--- a/src/service/store_client.cpp
+++ b/src/service/store_client.cpp
@@ -46,18 +46,6 @@
 }
 }  // namespace
 
-std::string_view name_of(ReadOutcome outcome) {
-  switch (outcome) {
-    case ReadOutcome::found:
-      return "found";
-    case ReadOutcome::absent:
-      return "absent";
-    case ReadOutcome::failed:
-      return "failed";
-  }
-  return "unknown";
-}
-
 StoreClient::StoreClient(Context& ctx)
     : ctx_(ctx),
       http_(ctx.loop, max_connections, max_response_bytes, max_idle_connections),
--- a/src/service/store_client.hpp
+++ b/src/service/store_client.hpp
@@ -4,7 +4,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "service/context.hpp"
@@ -15,8 +14,6 @@
 
 // `absent`: the store reported that the key does not exist. `failed`: no response, or one that cannot be parsed.
 enum class ReadOutcome { found, absent, failed };
-// Returns the outcome's name for logs.
-std::string_view name_of(ReadOutcome outcome);
 // The result of reading one key.
 struct ReadResult {
   ReadOutcome outcome = ReadOutcome::failed;
