--- a/stand_ins/rules.cpp
+++ b/stand_ins/rules.cpp
@@ -81,7 +81,7 @@
   auto& entry = jobs_.at(task.job);
   if (entry.reported_cancelled) ++started_after_cancel_;
   for (const auto& id : entry.spec.dependencies) {
-    if (jobs_.at(id).completed.size() != jobs_.at(id).spec.tasks) report_violation("too early " + to_string(task), now);
+    if (jobs_.at(id).completed.size() != jobs_.at(id).spec.tasks) report_violation("too_early " + to_string(task), now);
   }
   auto& holders = holders_[task.job][task.index];
   for (const auto& [machine, zone] : holders) {
@@ -162,6 +162,20 @@
          std::ranges::any_of(entry.spec.dependencies, [&](const JobId& a) { return cancellation_requested(a); });
 }
 
+std::optional<JobId> Rules::cancelled_dependency(const JobId& id, Time now) const {
+  std::set<JobId> visited;
+  std::vector<JobId> pending = jobs_.at(id).spec.dependencies;
+  while (!pending.empty()) {
+    const JobId dependency = pending.back();
+    pending.pop_back();
+    if (!visited.insert(dependency).second) continue;
+    const auto& entry = jobs_.at(dependency);
+    if (entry.reported_cancelled && now - *entry.reported_cancelled > seconds(timings_.cancel_s)) return dependency;
+    pending.insert(pending.end(), entry.spec.dependencies.begin(), entry.spec.dependencies.end());
+  }
+  return std::nullopt;
+}
+
 void Rules::on_phase_reported(const JobId& id, const std::string& phase, Ordinal sent, Time now) {
   auto& entry = jobs_.at(id);
   entry.last_response_at = now;
@@ -171,6 +185,10 @@
     entry.accepted = now;
     entry.acceptance_order = received;
   }
+  if (phase != "done" && phase != "withdrawn") {
+    const auto cancelled = cancelled_dependency(id, now);
+    if (cancelled) report_violation("orphaned " + id.value() + ": " + phase + " after " + cancelled->value(), now);
+  }
   const bool was_done = entry.reported_done && sent > entry.end_order;
   const bool was_cancelled = entry.reported_cancelled && sent > entry.end_order;
   if (was_done && phase != "done") report_violation("went_back " + id.value() + ": done, then " + phase, now);
--- a/stand_ins/rules.hpp
+++ b/stand_ins/rules.hpp
@@ -61,7 +61,8 @@
   void on_task_completed(const TaskId& task);
   // To be called when a user sends a request; the result is passed on with its response.
   [[nodiscard]] Ordinal on_request_sent() { return ++order_; }
-  // Records the response to a request sent at `sent`; `phase` is the PROTOCOL name.
+  // Records the response to a request sent at `sent`; `phase` is the PROTOCOL name. Responses to submissions, polls and
+  // cancellations are judged alike, whichever controller sent them.
   void on_phase_reported(const JobId& id, const std::string& phase, Ordinal sent, Time now);
   // Records a response (400, 404 or 422) saying that the job is unknown or not accepted.
   void on_permanent_refusal(const JobId& id, int status, Ordinal sent, Time now);
@@ -93,6 +94,8 @@
 
  private:
   [[nodiscard]] bool cancellation_requested(const JobId& id) const;
+  // Returns a direct or transitive dependency whose cancellation was reported more than cancel_s before `now`, if any.
+  [[nodiscard]] std::optional<JobId> cancelled_dependency(const JobId& id, Time now) const;
   void report_violation(const std::string& what, Time now);
   void check_place(const TaskId& task, const Place& place, Time now);
   void check_limit(const std::string& team, Time now);
--- a/tests/cascading_cancellation_test.cpp
+++ b/tests/cascading_cancellation_test.cpp
@@ -65,5 +65,23 @@
   EXPECT_EQ("", r.violations());
 }
 
+TEST(cascading_cancellation, a_job_submitted_before_the_ends_of_its_dependencies_are_stored_is_not_called_pending) {
+  Cascade cascade{402};
+  Region& r = cascade.r;
+  const auto leader = r.leader();
+  ASSERT_TRUE(leader);
+  r.cancel(cascade.root, {*leader});
+  ASSERT_TRUE(r.run_until(20, [&] { return r.rules().job(cascade.root).reported_cancelled.has_value(); }));
+  std::vector<JobId> late;
+  for (std::size_t c = 0; c < r.controllers(); ++c) {
+    late.push_back(r.submit(one_task({cascade.waiting.back()}), 5));
+    r.poll_at(late.back(), {c});
+  }
+  r.run(region::RegionOptions{}.timings.cancel_s + 5);
+  EXPECT_GT(cascade.unstored(), 0U) << "the ends were stored too soon for this test";
+  for (const auto& id : late) EXPECT_TRUE(r.rules().job(id).reported_cancelled) << id.value();
+  EXPECT_EQ("", r.violations());
+}
+
 }  // namespace
 }  // namespace martenwall
--- a/tests/dependencies_test.cpp
+++ b/tests/dependencies_test.cpp
@@ -140,6 +140,39 @@
   EXPECT_FALSE(fixture.stored_ends.contains(DependencyFixture::id(5)));
 }
 
+TEST(dependencies, a_job_added_to_a_cascade_whose_ends_are_not_stored_is_not_called_pending) {
+  DependencyFixture fixture;
+  fixture.add(1, {});
+  fixture.add(2, {1});
+  fixture.add(3, {2});
+  ASSERT_TRUE(fixture.scheduler.cancel(DependencyFixture::id(1), fixture.now));
+  fixture.store(fixture.take_writes());
+  ASSERT_FALSE(fixture.scheduler.is_cascade_stored(DependencyFixture::id(1)));
+  fixture.add(4, {3});
+  const auto status = fixture.scheduler.status(DependencyFixture::id(4));
+  EXPECT_TRUE(status && status->phase == JobPhase::cancelled) << "the store's backlog may last longer than cancel_s";
+  fixture.store_all();
+  for (const int n : {1, 2, 3, 4}) EXPECT_EQ(JobPhase::cancelled, fixture.stored_ends.at(DependencyFixture::id(n)));
+}
+
+TEST(dependencies, a_dependent_of_a_job_that_was_cancelled_twice_is_not_called_pending_until_that_end_is_stored) {
+  DependencyFixture fixture;
+  fixture.add(1, {});
+  fixture.add(2, {1});
+  fixture.add(3, {2});
+  ASSERT_TRUE(fixture.scheduler.cancel(DependencyFixture::id(1), fixture.now));
+  const auto end_of_root = fixture.take_writes();
+  ASSERT_TRUE(fixture.scheduler.cancel(DependencyFixture::id(2), fixture.now));
+  fixture.store(end_of_root);
+  for (const int n : {2, 3}) {
+    const auto status = fixture.scheduler.status(DependencyFixture::id(n));
+    EXPECT_TRUE(status && status->phase == JobPhase::cancelled) << n;
+  }
+  fixture.store_all();
+  EXPECT_TRUE(fixture.scheduler.is_cascade_stored(DependencyFixture::id(1)));
+  for (const int n : {1, 2, 3}) EXPECT_EQ(JobPhase::cancelled, fixture.stored_ends.at(DependencyFixture::id(n)));
+}
+
 TEST(dependencies, a_cancellation_that_lost_to_completion_cancels_no_dependents) {
   DependencyFixture fixture;
   fixture.add(1, {});
--- a/tests/stand_ins_test.cpp
+++ b/tests/stand_ins_test.cpp
@@ -125,6 +125,50 @@
   EXPECT_EQ("ran_cancelled", late.first_violation());
 }
 
+// Adds jobs 2 and 3: each depends on the one before.
+void add_dependents(RuleChecker& checker) {
+  for (const auto& [id, dependency] : {std::pair{"job-000002", "job-000001"}, std::pair{"job-000003", "job-000002"}}) {
+    JobSpec spec = checker.rules.job(job).spec;
+    spec.id = JobId{id};
+    spec.dependencies = {JobId{dependency}};
+    checker.rules.add(spec, 10, at(0));
+  }
+}
+
+TEST(rules, a_task_that_starts_before_the_dependencies_of_its_job_are_done_is_a_violation) {
+  RuleChecker checker;
+  add_dependents(checker);
+  for (std::uint32_t i = 0; i < 3; ++i) checker.rules.on_task_completed({job, i});
+  checker.rules.on_task_started({JobId{"job-000002"}, 0}, place("i-1"), at(1));
+  EXPECT_EQ("too_early", checker.first_violation());
+}
+
+TEST(rules, a_dependent_that_is_active_long_after_the_cancellation_is_a_violation_also_in_its_first_answer) {
+  for (const char* phase : {"pending", "running"}) {
+    for (const char* dependent : {"job-000002", "job-000003"}) {
+      RuleChecker checker;
+      add_dependents(checker);
+      checker.rules.jobs().at(job).cancel_requested = at(2);
+      checker.rules.on_phase_reported(job, "withdrawn", checker.rules.on_request_sent(), at(2));
+      checker.rules.on_phase_reported(JobId{dependent}, phase, checker.rules.on_request_sent(),
+                                      at(2 + timings.cancel_s));
+      EXPECT_EQ("", checker.first_violation());
+      checker.rules.on_phase_reported(JobId{dependent}, phase, checker.rules.on_request_sent(),
+                                      at(2 + timings.cancel_s + 0.1));
+      EXPECT_EQ("orphaned", checker.first_violation());
+    }
+  }
+}
+
+TEST(rules, a_dependent_that_is_cancelled_with_its_dependency_is_no_violation) {
+  RuleChecker checker;
+  add_dependents(checker);
+  checker.rules.jobs().at(job).cancel_requested = at(2);
+  checker.rules.on_phase_reported(job, "withdrawn", checker.rules.on_request_sent(), at(2));
+  checker.rules.on_phase_reported(JobId{"job-000003"}, "withdrawn", checker.rules.on_request_sent(), at(90));
+  EXPECT_EQ("", checker.first_violation());
+}
+
 TEST(rules, a_forgotten_job_is_a_violation) {
   for (const int status : {404, 400, 422}) {
     RuleChecker checker;
