Cascades: reach a dependent that is submitted, or was cancelled itself, before the ends are stored

Cause: a cascade cancels the dependents that the leader knows at the moment in which the root's end is stored. Two kinds were missed and waited for the *stored* end of the job that they await, however long the store's writes lagged: - a job added later: `DependencyTracker::add` knew only ends that are stored, not those that a cascade made certain; - a job behind one that its own user cancelled as well: `JobCompletion::finish` removed that one from the graph, and `cancel_dependents` skipped jobs with a final phase. Change: a dependency that a cascade cancelled counts as cancelled. A cancelled job stays in the graph until its end is stored, so that a cascade passes through it. The root's end is stored, so any later leader comes to the same.

--- a/src/core/scheduler/dependency_tracker.cpp
+++ b/src/core/scheduler/dependency_tracker.cpp
@@ -19,7 +19,8 @@
     // jobs.
     const bool stored = known != nullptr && known->end_is_stored && !known->residual;
     if (stored && known->phase == JobPhase::done) continue;
-    if (stored) cancelled = dependency;
+    // The end of a cascade's root is stored, so that the jobs that it cancelled end as cancelled under any leader.
+    if (stored || is_cancelled_by_cascade(dependency)) cancelled = dependency;
     job.open_dependencies.insert(dependency);
     dependents_[dependency].insert(job.spec.id);
     const bool unknown = known == nullptr || known->residual;
@@ -91,7 +92,9 @@
   open_cascades_[root].merge(cancelled);
 }
 
-void DependencyTracker::on_end_stored(const JobId& id) {
+void DependencyTracker::on_end_stored(const Job& job) {
+  remove(job);
+  const auto& id = job.spec.id;
   const auto root = cascade_root_of_.find(id);
   if (root == cascade_root_of_.end()) return;
   const auto unstored = open_cascades_.find(root->second);
@@ -144,7 +147,8 @@
       job->reset_urgency();
       if (const auto dependents = dependents_.find(id); dependents != dependents_.end()) {
         for (const auto& dependent : dependents->second) {
-          if (const Job* other = std::as_const(state_).find_job(dependent)) inherit_urgency(*job, *other);
+          const Job* other = std::as_const(state_).find_job(dependent);
+          if (other != nullptr && !is_final(other->phase)) inherit_urgency(*job, *other);
         }
       }
       if (previous != std::pair{job->priority, job->effective_deadline}) queue.push_back(job);
--- a/src/core/scheduler/dependency_tracker.hpp
+++ b/src/core/scheduler/dependency_tracker.hpp
@@ -20,8 +20,6 @@
   // Adds a job, which is blocked while it has open dependencies. Returns a dependency that is known to be cancelled, if
   // any; the caller must then cancel this job too.
   std::optional<JobId> add(Job& job, Time now);
-  // Removes an ended job as a dependent of its open dependencies.
-  void remove(const Job& job);
   // After the cancellation of a job, recomputes the urgency that its direct and indirect dependencies inherited from
   // it.
   void recompute_urgency(const Job& cancelled);
@@ -44,8 +42,9 @@
   void add_to_cascade(const JobId& root, const JobId& cancelled) { cascade_root_of_[cancelled] = root; }
   // Returns whether a cascade cancelled the job and the job's own end is not stored yet.
   [[nodiscard]] bool is_cancelled_by_cascade(const JobId& id) const { return cascade_root_of_.contains(id); }
-  // Handles the stored end of a job that a cascade cancelled.
-  void on_end_stored(const JobId& id);
+  // Handles the stored end of a job. A cancelled job remains a dependent of its open dependencies until then, so that
+  // their cancellation reaches the jobs that depend on it.
+  void on_end_stored(const Job& job);
   // Returns whether the ends of all jobs that this job's cancellation cancelled are stored.
   [[nodiscard]] bool is_cascade_stored(const JobId& id) const { return !open_cascades_.contains(id); }
 
@@ -59,6 +58,7 @@
   [[nodiscard]] bool has_dependents(const JobId& id) const { return dependents_.contains(id); }
 
  private:
+  void remove(const Job& job);
   [[nodiscard]] double time_to_completion_s(const Job& job) const;
   bool inherit_urgency(Job& job, const Job& dependent) const;
   void propagate_urgency(const Job& job);
--- a/src/core/scheduler/job_completion.cpp
+++ b/src/core/scheduler/job_completion.cpp
@@ -6,7 +6,6 @@
   const bool cancelled = phase == JobPhase::cancelled;
   if (cancelled && job.failures > 0) failures_.forget_failures_of(job, now);
   job.transition_to(phase);
-  dependencies_.remove(job);
   if (cancelled) dependencies_.recompute_urgency(job);
   state_.finished_jobs[job.spec.id] = now;
   record_end(job, now);
--- a/src/core/scheduler/scheduler.cpp
+++ b/src/core/scheduler/scheduler.cpp
@@ -265,7 +265,7 @@
     if (write.key.kind == RowKind::final_job && job != nullptr) {
       job->end_is_stored = true;
       rows_.queue_removal(*job, now);
-      dependencies_.on_end_stored(id);
+      dependencies_.on_end_stored(*job);
       tasks_.on_job_ended(id, job->phase, now);
     }
     rows_.forget_if_finished(id);
--- a/src/core/scheduler/task_lifecycle.cpp
+++ b/src/core/scheduler/task_lifecycle.cpp
@@ -279,10 +279,12 @@
   std::deque<JobId> queue{dependents.begin(), dependents.end()};
   for (; !queue.empty(); queue.pop_front()) {
     Job* job = state_.find_job(queue.front());
-    if (job == nullptr || is_final(job->phase)) continue;
+    if (job == nullptr || job->end_is_stored || dependencies_.is_cancelled_by_cascade(job->spec.id)) continue;
     dependencies_.take_dependents_into(job->spec.id, queue);
-    completion_.finish(*job, JobPhase::cancelled, now);
-    stop_all_tasks(*job, 0, {StopReason::dependency_cancelled}, now);
+    if (!is_final(job->phase)) {
+      completion_.finish(*job, JobPhase::cancelled, now);
+      stop_all_tasks(*job, 0, {StopReason::dependency_cancelled}, now);
+    }
     dependencies_.add_to_cascade(root, job->spec.id);
     cancelled.insert(job->spec.id);
   }
