Direct starts: an ended attempt stays known to its worker while a copy of its start may arrive

What callers would see: a copy of a start command that was executed and answered reaches the machine again, and the task runs a second time. Cause: after `reap` the worker does not know the attempt, and token and session are all that it checks. An answered direct start was reaped as soon as its end was stored. Change: an attempt that was started directly is reaped 120 s after that command was sent at the earliest (`Placement::max_command_delay`); a later leader may reap before, since its response carries the higher token, which fences the copy. Tasks that run longer than that are not kept at all. A machine with 60 kept attempts gets its starts in responses to heartbeats, which are never executed late, so that its report stays bounded. Kept attempts do not count for the limit of tasks on a machine. Left: a copy later than 120 s after its original (docs/safety.md).

--- a/src/core/model/model.cpp
+++ b/src/core/model/model.cpp
@@ -63,6 +63,11 @@
   return it == placements.end() ? nullptr : &*it;
 }
 
+std::size_t Machine::kept_attempts(Time now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      placements, [&](const Placement& placement) { return placement.is_kept_for_late_copies(now); }));
+}
+
 Machine::ImageState Machine::image_state(ImageId image) const {
   const auto it = std::ranges::find(images, image, &Image::id);
   if (it == images.end()) return ImageState::absent;
--- a/src/core/model/model.hpp
+++ b/src/core/model/model.hpp
@@ -101,6 +101,9 @@
 // A task that may be on a machine. Its record is stored in a task row before its start is sent.
 class Placement {
  public:
+  // A late copy of a direct command may reach its worker until this long after the command was sent.
+  static constexpr Duration max_command_delay = seconds(120);
+
   Placement(TaskId task_id, Attempt attempt_no, Generation change, Time now)
       : task(std::move(task_id)), attempt(attempt_no), generation(change), placed_at(now) {}
 
@@ -112,6 +115,11 @@
   [[nodiscard]] bool occupies() const { return !removed && state_ != TaskState::ended; }
   // Returns whether a start that was sent can still take effect on the worker.
   [[nodiscard]] bool start_in_flight() const { return direct_start_unanswered || start_sequence.has_value(); }
+  // Returns whether the attempt has ended and a copy of its direct start may still arrive. The worker must keep its
+  // record of the attempt until then, since it executes the start of an attempt that it does not know.
+  [[nodiscard]] bool is_kept_for_late_copies(Time now) const {
+    return state_ == TaskState::ended && direct_start_sent_at && now - *direct_start_sent_at < max_command_delay;
+  }
   [[nodiscard]] bool is_reported() const { return state_ != TaskState::planned && state_ != TaskState::sent; }
 
   TaskId task;
@@ -127,6 +135,7 @@
   Time running_since{};
   bool unconfirmed = false;              // recorded by an earlier leader and neither confirmed nor refuted yet
   bool direct_start_unanswered = false;  // an unanswered direct start may still be executed in this incarnation
+  std::optional<Time> direct_start_sent_at;
   std::optional<HeartbeatSequence> start_sequence;  // heartbeat in whose response the start was last sent
   bool removed = false;                             // certainly not on the machine; erased after the current event
   bool stop_requested = false;
@@ -153,6 +162,8 @@
   [[nodiscard]] bool accepts_starts() const { return phase_ == MachinePhase::up && has_reported; }
   // Returns the placement of this attempt, or nullptr if there is none.
   Placement* find(const TaskId& task, Attempt attempt);
+  // Returns the number of ended attempts that the worker keeps because of late copies of their starts.
+  [[nodiscard]] std::size_t kept_attempts(Time now) const;
   [[nodiscard]] bool empty() const { return task_count == 0; }
   // State of an image in the machine's cache.
   enum class ImageState { absent, fetching, ready };
--- a/src/core/scheduler/worker_command_dispatcher.cpp
+++ b/src/core/scheduler/worker_command_dispatcher.cpp
@@ -9,6 +9,8 @@
 constexpr Duration start_latency = seconds(6);          // time from a response with a start until the start is complete
 constexpr std::size_t max_concurrent_probes = 8;        // machines with a doubtful downlink that are probed per call
 constexpr std::size_t max_commands_per_response = 300;  // limit per response: a line of a response may have 64 KiB
+// Ended attempts of a machine at which further starts are sent in responses only, so that its reports stay small.
+constexpr std::size_t max_kept_attempts = 60;
 constexpr double stop_overdue_s = 4;  // time beyond the grace period after which a stop is repeated without grace
 // Maximum age of a machine's last report for a direct command, in heartbeat intervals. A command to a machine that has
 // been silent for longer could be delayed in the network and execute late.
@@ -29,9 +31,10 @@
 void WorkerCommandDispatcher::append_command(Machine& machine, Placement& placement, HeartbeatSequence sequence,
                                              Time now, bool lease_valid, std::vector<Command>& out) {
   if (placement.state() == TaskState::ended) {
-    // While a direct start of the attempt may still execute, the worker must keep its record of the attempt. Without
-    // the record, a late start would run the task again.
-    if (rows_.is_stored(placement) && lease_valid && !placement.direct_start_unanswered) {
+    // While a direct start of the attempt or a copy of it may still execute, the worker must keep its record of the
+    // attempt. Without the record, a late start would run the task again.
+    const bool may_start_again = placement.direct_start_unanswered || placement.is_kept_for_late_copies(now);
+    if (rows_.is_stored(placement) && lease_valid && !may_start_again) {
       out.push_back({Command::Verb::forget, placement.task, placement.attempt, 0});
     }
     return;
@@ -83,7 +86,8 @@
     if (now - machine.last_report_at > seconds(options_.timings.heartbeat_interval_s * max_report_age_intervals))
       continue;
     CommandBatch batch{id, machine.addr, machine.incarnation, {}};
-    for (auto& placement : machine.placements) append_direct_command(machine, placement, now, batch);
+    const bool may_start = machine.accepts_starts() && machine.kept_attempts(now) < max_kept_attempts;
+    for (auto& placement : machine.placements) append_direct_command(placement, may_start, now, batch);
     const bool probe = probes < max_concurrent_probes && machine.downlink.claim_probe(now);
     if (probe) ++probes;
     if (probe || !batch.commands.empty()) out.push_back(std::move(batch));
@@ -91,7 +95,7 @@
   return out;
 }
 
-void WorkerCommandDispatcher::append_direct_command(const Machine& machine, Placement& placement, Time now,
+void WorkerCommandDispatcher::append_direct_command(Placement& placement, bool may_start, Time now,
                                                     CommandBatch& batch) {
   if (placement.removed || !placement.occupies()) return;
   if (placement.stop_requested) {
@@ -100,10 +104,12 @@
     placement.stop_sent = true;
     return;
   }
-  const bool may_start = placement.state() == TaskState::planned && machine.accepts_starts();
-  if (!may_start || !state_.jobs.contains(placement.task.job) || !rows_.is_stored(placement)) return;
+  if (!may_start || placement.state() != TaskState::planned || !state_.jobs.contains(placement.task.job) ||
+      !rows_.is_stored(placement))
+    return;
   placement.transition_to(TaskState::sent, now);
   placement.direct_start_unanswered = true;
+  placement.direct_start_sent_at = now;
   batch.commands.push_back({Command::Verb::start, placement.task, placement.attempt, 0});
 }
 
--- a/src/core/scheduler/worker_command_dispatcher.hpp
+++ b/src/core/scheduler/worker_command_dispatcher.hpp
@@ -28,7 +28,7 @@
                       std::vector<Command>& out);
   void append_stop(const Machine& machine, Placement& placement, HeartbeatSequence sequence, Time now,
                    std::vector<Command>& out);
-  void append_direct_command(const Machine& machine, Placement& placement, Time now, CommandBatch& batch);
+  void append_direct_command(Placement& placement, bool may_start, Time now, CommandBatch& batch);
 
   ClusterState& state_;
   const SchedulerOptions& options_;
--- a/tests/region/worker.cpp
+++ b/tests/region/worker.cpp
@@ -117,6 +117,7 @@
   const Time now = environment_.loop.now();
   auto reply = model_.commands(body, now);
   if (reply.executed && now - received_at > seconds(2)) ++executed_late_;
+  if (reply.executed && starts) executed_starts_.push_back(body);
   co_return rt::HttpResponse{reply.status, std::move(reply.body), {}, false};
 }
 
--- a/tests/region/worker.hpp
+++ b/tests/region/worker.hpp
@@ -55,6 +55,10 @@
   [[nodiscard]] bool has(const JobId& job) const { return model_.has(job); }
   // Returns the number of command lists executed more than 2 s after arrival, when their sender has timed out.
   [[nodiscard]] std::size_t executed_late() const { return executed_late_; }
+  // Returns the bodies of the direct command lists with a start that were executed and answered.
+  [[nodiscard]] const std::vector<nlohmann::json>& executed_starts() const { return executed_starts_; }
+  // A late copy of a direct command list arrives; its response reaches no one. Returns whether it was executed.
+  bool receive_copy(const nlohmann::json& body) { return model_.commands(body, environment_.loop.now()).executed; }
   [[nodiscard]] bool hangs() const { return environment_.loop.now() < hangs_until_; }
 
   // Responses and commands are lost; heartbeats still arrive.
@@ -89,6 +93,7 @@
   Time confined_until_{}, uplink_lost_until_{};
   std::size_t confined_to_ = 0, executed_late_ = 0;
   std::vector<std::pair<Time, std::uint64_t>> renewals_;
+  std::vector<nlohmann::json> executed_starts_;
   rt::HttpClient client_;
   rt::HttpServer server_;
 };
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -210,6 +210,57 @@
   EXPECT_TRUE(fixture.send_heartbeat("i-1", {ended}).empty());  // no reap
 }
 
+TEST(scheduler, a_late_copy_of_an_answered_direct_start_finds_the_attempt_known) {
+  SchedulerFixture fixture{true};
+  fixture.send_heartbeat("i-1");
+  fixture.submit_job("job-1", JobKind::array, 1, 1);
+  fixture.scheduler.run_cycle(fixture.now);
+  fixture.commit();
+  const auto batches = fixture.scheduler.take_command_batches(fixture.now);
+  ASSERT_EQ(1U, batches.size());
+  const Time sent_at = fixture.now;
+  fixture.scheduler.on_command_outcome(batches[0], CommandOutcome::executed, fixture.now);
+  const auto ended = SchedulerFixture::task("job-1", 0, 1, TaskState::ended, ExitCause::done);
+  fixture.send_heartbeat("i-1", {ended});
+  fixture.commit();
+  fixture.now = sent_at + Placement::max_command_delay - seconds(1);
+  EXPECT_TRUE(fixture.send_heartbeat("i-1", {ended}).empty()) << "the worker was told to forget the attempt";
+  fixture.now = sent_at + Placement::max_command_delay;
+  const auto commands = fixture.send_heartbeat("i-1", {ended});
+  ASSERT_EQ(1U, commands.size());
+  EXPECT_EQ(Command::Verb::forget, commands[0].verb);
+}
+
+TEST(scheduler, attempts_kept_for_late_copies_are_bounded_and_block_no_starts) {
+  SchedulerFixture fixture{true};
+  std::vector<TaskStatus> ended;
+  std::size_t direct_starts = 0;
+  constexpr std::uint32_t jobs = 80;
+  for (std::uint32_t i = 0; i < jobs; ++i) {
+    const std::string name = "job-" + std::to_string(i);
+    fixture.send_heartbeat("i-1", ended);
+    fixture.submit_job(name.c_str(), JobKind::array, 1, 1);
+    fixture.scheduler.run_cycle(fixture.now);
+    fixture.commit();
+    const auto batches = fixture.scheduler.take_command_batches(fixture.now);
+    for (const auto& batch : batches) {
+      direct_starts += count_starts(batch.commands);
+      fixture.scheduler.on_command_outcome(batch, CommandOutcome::executed, fixture.now);
+    }
+    for (const auto& command : fixture.send_heartbeat("i-1", ended)) {
+      if (command.verb == Command::Verb::forget)
+        std::erase_if(ended, [&](const TaskStatus& status) { return status.task == command.task; });
+    }
+    ended.push_back(SchedulerFixture::task(name.c_str(), 0, 1, TaskState::ended, ExitCause::done));
+    fixture.send_heartbeat("i-1", ended);
+    fixture.commit();
+    const Job* job = fixture.scheduler.find_job(JobId{name});
+    EXPECT_TRUE(job == nullptr || job->done.count() == 1) << name;
+  }
+  EXPECT_EQ(60U, direct_starts) << "further starts are sent in responses";
+  EXPECT_LE(ended.size(), 62U);
+}
+
 // A start delayed in the network may arrive after the deadline by which the tasks of a cancelled job must be gone.
 // Every response that keeps the session of the worker alive therefore includes the attempt, also the responses of a
 // leader that cannot prove its lease.
