--- a/tests/dependent_submission_test.cpp
+++ b/tests/dependent_submission_test.cpp
@@ -1,5 +1,6 @@
 // Whole nodes: what the users of dependent jobs are told at submission if a job before theirs is cancelled.
 #include "region/busy_region.hpp"
+#include "wire/user_codec.hpp"
 
 namespace martenwall {
 namespace {
@@ -90,6 +91,18 @@
   chain.expect_rules_kept();
 }
 
+TEST(dependent_submissions, the_leader_accepts_a_job_that_awaits_a_cancelled_one_with_its_first_answer) {
+  CancelledChain chain{507};
+  JobSpec late = one_task({chain.first});
+  late.id = JobId{"job-800001"};
+  late.team = "red";
+  late.job_class = "x";
+  late.image = "img";
+  const auto answer = chain.r.request(chain.leader, "POST", "/api/jobs", wire::encode_job(late).dump());
+  ASSERT_EQ(201, answer.status) << answer.body;
+  EXPECT_EQ("withdrawn", nlohmann::json::parse(answer.body).at("phase"));
+}
+
 TEST(dependent_submissions, a_job_that_awaits_an_unfinished_one_is_accepted_as_pending_at_every_node) {
   region::BusyRegion busy{506};
   Region& r = busy.r;
