--- a/src/core/scheduler/dependency_tracker.cpp
+++ b/src/core/scheduler/dependency_tracker.cpp
@@ -36,6 +36,7 @@
   return cancelled;
 }
 
+// Removes an ended job as a dependent of its open dependencies.
 void DependencyTracker::remove(const Job& job) {
   for (const auto& dependency : job.open_dependencies) {
     const auto it = dependents_.find(dependency);
--- a/src/core/scheduler/placement_stage.cpp
+++ b/src/core/scheduler/placement_stage.cpp
@@ -134,8 +134,9 @@
     const bool reservation_expired =
         machine.reserved_for && (now >= machine.reserved_until || !state_.jobs.contains(*machine.reserved_for));
     if (reservation_expired) machine.reserved_for.reset();
+    if (!state_.accepts_new_tasks(machine, now)) continue;
     const auto tasks = machine.placements.size() - machine.kept_attempts(now);
-    if (!state_.accepts_new_tasks(machine, now) || tasks >= options_.max_tasks_per_machine) continue;
+    if (tasks >= options_.max_tasks_per_machine) continue;
     const auto* type = state_.find_type(machine.type);
     if (type == nullptr) continue;
     Resources free = type->capacity;
--- a/tests/cascading_cancellation_test.cpp
+++ b/tests/cascading_cancellation_test.cpp
@@ -4,16 +4,9 @@
 namespace martenwall {
 namespace {
 
+using region::one_task;
 using region::Region;
 
-JobSpec one_task(std::vector<JobId> dependencies = {}) {
-  JobSpec spec;
-  spec.tasks = 1;
-  spec.need = {1, 1, 8};
-  spec.dependencies = std::move(dependencies);
-  return spec;
-}
-
 // A running job with dependents, half of which depend on it through another one, and a store that takes few changes.
 struct Cascade {
   static constexpr std::size_t dependents = 240;
--- a/tests/dependent_submission_test.cpp
+++ b/tests/dependent_submission_test.cpp
@@ -5,16 +5,9 @@
 namespace martenwall {
 namespace {
 
+using region::one_task;
 using region::Region;
 
-JobSpec one_task(std::vector<JobId> dependencies = {}) {
-  JobSpec spec;
-  spec.tasks = 1;
-  spec.need = {1, 1, 8};
-  spec.dependencies = std::move(dependencies);
-  return spec;
-}
-
 // A chain of two jobs whose first one was cancelled more than cancel_s ago; the second one was cancelled with it.
 struct CancelledChain {
   Region r;
--- a/tests/region/busy_region.hpp
+++ b/tests/region/busy_region.hpp
@@ -14,6 +14,15 @@
   return std::ranges::any_of(then, [&](const auto& op) { return op.value("set", "").starts_with(prefix); });
 }
 
+// Returns a job of one task with these dependencies.
+inline JobSpec one_task(std::vector<JobId> dependencies = {}) {
+  JobSpec spec;
+  spec.tasks = 1;
+  spec.need = {1, 1, 8};
+  spec.dependencies = std::move(dependencies);
+  return spec;
+}
+
 // A region with a leader and 24 running tasks.
 struct BusyRegion {
   Region r;
--- a/tests/simulation/rules.cpp
+++ b/tests/simulation/rules.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ranges>
 
 #include "simulation.hpp"
 
@@ -54,7 +55,7 @@
   };
   for (const auto& n : nodes_) {
     if (n.scheduler == nullptr || !n.leadership->has_valid_lease(now_) || now_ < n.frozen_until) continue;
-    for (const auto& [id, job] : n.scheduler->jobs()) {
+    for (const auto& id : n.scheduler->jobs() | std::views::keys) {
       const auto status = n.scheduler->status(id);
       if (status && !is_final(status->phase) && depends_on_cancelled(id, cancelled_long_ago)) {
         report_violation("orphaned " + id.value());
