Job adoption: look-ups and adoption apply a known end by the same function

`JobAdopter::apply_known_ends` did what `DependencyLookups::answer_from_cache` did already: tell the scheduler of an end that this node has read. Both call `JobAdopter::apply_known_end` now.

--- a/src/service/dependency_lookups.cpp
+++ b/src/service/dependency_lookups.cpp
@@ -31,11 +31,7 @@
 
 // Answers lookups of cached jobs and removes these jobs from `ids`.
 void DependencyLookups::answer_from_cache(std::vector<JobId>& ids) {
-  std::erase_if(ids, [&](const JobId& id) {
-    const auto finished = ctx_.finished_jobs.find(id);
-    if (finished) ctx_.scheduler->on_dependency_end_found(id, finished->phase, ctx_.now());
-    return finished.has_value();
-  });
+  std::erase_if(ids, [&](const JobId& id) { return adopter_.apply_known_end(id); });
 }
 
 rt::Task<void> DependencyLookups::look_up_all(std::uint64_t term, std::vector<JobId> ids) {
--- a/src/service/job_adopter.cpp
+++ b/src/service/job_adopter.cpp
@@ -14,17 +14,15 @@
   versions_.record(wire::job_key(id, job.dependent), version);
   const auto dependencies = job.spec.dependencies;
   ctx_.scheduler->add_job(std::move(job), ctx_.now());
-  apply_known_ends(dependencies);
+  // Until their lookup in the store, the job's state could not be told.
+  for (const auto& dependency : dependencies) apply_known_end(dependency);
   ctx_.notify_pending_work();
 }
 
-// Tells the scheduler at once of dependencies that this node knows to be over. Until their lookup in the store, the
-// job's state could not be told.
-void JobAdopter::apply_known_ends(const std::vector<JobId>& dependencies) {
-  for (const auto& id : dependencies) {
-    const auto finished = ctx_.finished_jobs.find(id);
-    if (finished) ctx_.scheduler->on_dependency_end_found(id, finished->phase, ctx_.now());
-  }
+bool JobAdopter::apply_known_end(const JobId& id) {
+  const auto finished = ctx_.finished_jobs.find(id);
+  if (finished) ctx_.scheduler->on_dependency_end_found(id, finished->phase, ctx_.now());
+  return finished.has_value();
 }
 
 }  // namespace martenwall::service
--- a/src/service/job_adopter.hpp
+++ b/src/service/job_adopter.hpp
@@ -1,7 +1,5 @@
 // Adds jobs whose rows are in the store to this leader's scheduler.
 #pragma once
-#include <vector>
-
 #include "service/context.hpp"
 #include "service/key_versions.hpp"
 
@@ -15,10 +13,11 @@
   // Adds `job`, whose row was read or written during `term` at `version`. Has no effect if that term is over or the job
   // is known, even as a finished job: a row that was read before the job ended must not start it again.
   void adopt(std::uint64_t term, Job job, KeyVersion version);
+  // Tells the scheduler of the end of a job that others depend on, if this node knows the end. Returns whether it does.
+  // To be called by a leader only.
+  bool apply_known_end(const JobId& id);
 
  private:
-  void apply_known_ends(const std::vector<JobId>& dependencies);
-
   Context& ctx_;
   KeyVersions& versions_;
 };
