--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""One of two machines fails every task for 12 s. The job that failed there is never tried there again, nor elsewhere."""
+"""One of two machines fails every task for 12 s. The job that failed there is never tried again, there or elsewhere."""
 import asyncio
 import os
 import sys
--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -1,8 +1,8 @@
 """Stand-ins for the review's cases: state service, cloud, workers and users as PROTOCOL describes them, and the real
 controllers as processes with the command of deploy/service.toml, on loopback ports and the real clock.
 
-Standard library only. One asyncio loop serves all stand-ins. A case builds a World, starts it, causes its disruption and
-asks World.broken for what was seen. Everything that is sent, answered and run is written to record.txt.
+Standard library only. One asyncio loop serves all stand-ins. A case builds a World, starts it, causes its disruption
+and returns what it saw; the World's rules are checked all the time. What is sent, answered and run goes to record.txt.
 """
 import asyncio
 import bisect
@@ -75,10 +75,8 @@
                     break
                 status, value = answer
                 data = json.dumps(value).encode()
-                writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-                    + data
-                )
+                head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+                writer.write(head.encode() + data)
                 await writer.drain()
                 if headers.get("connection", "").lower() == "close":
                     break
