--- a/review/world-2/late_copy.py
+++ b/review/world-2/late_copy.py
@@ -29,8 +29,8 @@
 Machine.commands = remember
 
 
-def build(folder):
-    world = World(folder, [ALPE48], TEAMS, ["milano-nord"], nodes=3)
+def build(record):
+    world = World(record, [ALPE48], TEAMS, ["milano-nord"], nodes=3)
     for _ in range(2):
         world.cloud.add("alpe48", "milano-nord", False, 0)
     return world
@@ -54,4 +54,4 @@
     await asyncio.sleep(6)
 
 
-main(__file__, build, play)
+main(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), build, play)
--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -2,7 +2,7 @@
 controllers as processes with the command of deploy/service.toml, on loopback ports and the real clock.
 
 Standard library only. One asyncio loop serves all stand-ins. A case builds a World, starts it, causes its disruption
-and returns what it saw; the World's rules are checked all the time. What is sent, answered and run goes to record.txt.
+and returns what it saw; the World's rules are checked all the time. What is sent, answered and run goes to its record.
 """
 import asyncio
 import bisect
@@ -867,13 +867,12 @@
 
 
 class World:
-    def __init__(self, folder, types, teams, zones, **options):
-        """`types`: breeds as /flavors gives them; `teams`: rows of the settings."""
+    def __init__(self, record, types, teams, zones, **options):
+        """`record`: the open record of the case; `types`: breeds as /flavors gives them; `teams`: rows of the settings."""
         import random
 
-        self.case = folder
         self.folder = tempfile.mkdtemp(prefix="martenwall-review-")
-        self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.record = record
         self.began = time.monotonic()
         self.random = random.Random(options.get("seed", 1))
         self.types = {t["sku"]: t for t in types}
@@ -1019,7 +1018,7 @@
         sent = time.monotonic()
         status, headers, value = await client.request(node.port, method, path, body, timeout)
         client.close()
-        self.log(f"user {method} {path} at {node.name}: {status} {json.dumps(value)}")
+        self.log(f"user {method} {path} at {node.name} {body}: {status} {json.dumps(value)}")
         return status, headers, value, sent
 
     async def insist(self, nodes, method, path, body=""):
@@ -1192,13 +1191,12 @@
     return spec
 
 
-def main(case_file, build, play):
-    """Runs a case: build(folder) makes its World, play(world, trouble) returns None, or what broke the rule."""
-    folder = os.path.dirname(os.path.abspath(case_file))
+def main(record_path, build, play):
+    """Runs a case: build(record) makes its World, play(world, trouble) returns None, or what broke the rule."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
-    async def run():
-        world = build(folder)
+    async def run(record):
+        world = build(record)
         world.log(f"trouble={trouble}")
         outcome = CANNOT_RUN
         try:
@@ -1213,10 +1211,12 @@
             print(f"could not run: {e!r}", file=sys.stderr)
         finally:
             await world.end()
-            world.record.close()
+            world.log(f"exit code {outcome}")
         return outcome
 
-    if not os.path.exists(os.path.join(ROOT, deploy_command()[0])):
-        print("the deploy file's build is missing", file=sys.stderr)
-        sys.exit(CANNOT_RUN)
-    sys.exit(asyncio.run(run()))
+    with open(record_path, "w", buffering=1, encoding="utf-8") as record:
+        if not os.path.exists(os.path.join(ROOT, deploy_command()[0])):
+            record.write("could not run: the deploy file's build is missing\n")
+            print("the deploy file's build is missing", file=sys.stderr)
+            sys.exit(CANNOT_RUN)
+        sys.exit(asyncio.run(run(record)))
