--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -868,7 +868,7 @@
 
 class World:
     def __init__(self, record, types, teams, zones, **options):
-        """`record`: the open record of the case; `types`: breeds as /flavors gives them; `teams`: rows of the settings."""
+        """`record`: the open record; `types`: breeds as /flavors gives them; `teams`: rows of the settings."""
         import random
 
         self.folder = tempfile.mkdtemp(prefix="martenwall-review-")
